--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
 # Everything a reader needs: `make demo`, `make test`, `make lint`, `make bench`.
 VENV ?= .venv
 PY := $(VENV)/bin/python
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 comma := ,
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/$(p)/src)):$(CURDIR)/features
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(wildcard packages/*),$(CURDIR)/$(p)/src)$(space)$(CURDIR)/platform):$(CURDIR)/features
 export PYTHONHASHSEED := 0
 
 .PHONY: setup env lint format test demo soak bench capacity ci clean
@@ -27,19 +27,22 @@
 	@touch $@
 
 format: setup
-	-$(PY) -m ruff check --fix --quiet packages features tools
-	$(PY) -m ruff format packages features tools
+	-$(PY) -m ruff check --fix --quiet packages platform features tools deploy
+	$(PY) -m ruff format packages platform features tools deploy
 
 lint: setup
-	$(PY) -m ruff format --check packages features tools
-	$(PY) -m ruff check packages features tools
-	$(PY) -m flake8 packages features tools
-	$(PY) -m mypy packages/*/src
+	$(PY) -m ruff format --check packages platform features tools deploy
+	$(PY) -m ruff check packages platform features tools deploy
+	$(PY) -m flake8 packages platform features tools deploy
+	$(PY) -m mypy packages/*/src platform/turmericyard_fleet
+
+#: Feature files that run at the same time.
+WORKERS ?= 5
 
 test: setup
 	@mkdir -p build
 	@rm -f build/behave.json build/failed-logs.txt
-	-$(PY) -m behave --no-capture --format progress --outfile build/progress.txt --format support.error_report:ErrorReport --outfile build/behave.json $(FEATURES)
+	-$(PY) tools/run_features.py --workers $(WORKERS) --report build/behave.json --logs build/failed-logs.txt $(FEATURES)
 	@$(PY) tools/ci_summary.py --report build/behave.json --logs build/failed-logs.txt --known-red KNOWN-RED.txt
 
 SEED ?= 1
--- /dev/null
+++ b/deploy/build.py
@@ -0,0 +1,74 @@
+"""Puts the node, its packages and their byte code under target/deps."""
+
+import compileall
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parents[1]
+TARGET = ROOT / 'target' / 'deps'
+REQUIREMENTS = ROOT / 'deploy' / 'requirements.txt'
+STAMP = TARGET / '.requirements.txt'
+#: Packages that a node needs, without the benches and the command.
+PACKAGES = (
+    'turmericyard-tables',
+    'turmericyard-decisions',
+    'turmericyard-protocol',
+    'turmericyard-http',
+    'turmericyard-platform',
+    'turmericyard-ports',
+    'turmericyard-node',
+)
+PROGRAM = """from turmericyard_node.main import main
+
+main()
+"""
+
+
+def main() -> None:
+    """Install the pinned packages when they changed, then the own ones."""
+    wanted = REQUIREMENTS.read_bytes()
+    if not STAMP.exists() or STAMP.read_bytes() != wanted:
+        shutil.rmtree(TARGET, ignore_errors=True)
+        install()
+        STAMP.write_bytes(wanted)
+    sources = [
+        source
+        for package in PACKAGES
+        for source in (ROOT / 'packages' / package / 'src').iterdir()
+        if source.name.startswith('turmericyard_') and source.is_dir()
+        if not source.name.endswith('.egg-info')
+    ]
+    for source in (*sources, ROOT / 'platform' / 'turmericyard_fleet'):
+        copy(source)
+    program = TARGET / 'bin' / 'turmericyard-node'
+    program.parent.mkdir(exist_ok=True)
+    program.write_text(PROGRAM, encoding='utf-8')
+    for level in (0, 1):
+        compileall.compile_dir(TARGET, quiet=2, optimize=level)
+
+
+def install() -> None:
+    """Install the pinned packages."""
+    subprocess.run(
+        (
+            *(sys.executable, '-m', 'pip', 'install', '--quiet'),
+            *('--no-deps', '--target', str(TARGET)),
+            *('--requirement', str(REQUIREMENTS)),
+        ),
+        check=True,
+    )
+
+
+def copy(source: Path) -> None:
+    """Copy one package, replacing an earlier copy."""
+    target = TARGET / source.name
+    shutil.rmtree(target, ignore_errors=True)
+    shutil.copytree(
+        source, target, ignore=shutil.ignore_patterns('__pycache__')
+    )
+
+
+if __name__ == '__main__':
+    main()
--- a/features/steps/http_ending_steps.py
+++ b/features/steps/http_ending_steps.py
@@ -15,7 +15,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from turmericyard_http.exchange import Limits
+from turmericyard_http.answer_writer import Limits
 from turmericyard_http.messages import Request, Response, json_response
 from turmericyard_http.server import HttpServer, listener_port, open_listener
 
--- a/features/steps/http_exchange_steps.py
+++ b/features/steps/http_exchange_steps.py
@@ -7,8 +7,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from turmericyard_http.answer_writer import Limits
 from turmericyard_http.client import HttpClient, create_client
-from turmericyard_http.exchange import Limits
 from turmericyard_http.messages import (
     Request,
     Response,
--- a/features/support/failed_logs.py
+++ b/features/support/failed_logs.py
@@ -1,8 +1,12 @@
 """Keeps the last lines of the process logs of failed scenarios."""
 
+import os
 from pathlib import Path
 
-PATH = Path(__file__).parents[2] / 'build' / 'failed-logs.txt'
+#: Names the file of a run that works beside others.
+PATH_VARIABLE = 'TURMERICYARD_FAILED_LOGS'
+DEFAULT_PATH = Path(__file__).parents[2] / 'build' / 'failed-logs.txt'
+PATH = Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
 #: First characters of the line that begins the logs of a scenario.
 HEADING = '=== logs of '
 #: Part of each process's log that is kept, in characters.
--- a/packages/turmericyard-bench/src/turmericyard_bench/costs/bare_relay.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/costs/bare_relay.py
@@ -16,7 +16,7 @@
 
 from turmericyard_bench.costs.tables import MODEL
 from turmericyard_bench.transcript import text_tokens
-from turmericyard_http.exchange import Answer
+from turmericyard_http.answer_writer import Answer
 from turmericyard_http.messages import (
     Request,
     StreamResponse,
--- a/packages/turmericyard-bench/src/turmericyard_bench/launch.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/launch.py
@@ -30,6 +30,9 @@
 #: Distance between the first ports of two processes with adjacent ids.
 PORTS_PER_PROCESS = 97
 port_steps = count(os.getpid() * PORTS_PER_PROCESS)
+#: Names the part of the ports of this process, as `NUMBER/PARTS` from 0.
+PORT_PART_VARIABLE = 'TURMERICYARD_PORT_PART'
+WHOLE = '0/1'
 
 
 class LaunchError(Exception):
@@ -188,10 +191,14 @@
     """Return a loopback port that is free now, a new one each time.
 
     It lies below the ports that the system gives to outgoing connections,
-    so that none of them takes it before its process starts.
+    so that none of them takes it before its process starts. Test runs that
+    work side by side each take theirs from a part of their own.
     """
+    number, parts = os.environ.get(PORT_PART_VARIABLE, WHOLE).split('/')
+    size = PORT_COUNT // int(parts)
+    first = FIRST_PORT + int(number) * size
     while True:
-        port = FIRST_PORT + next(port_steps) % PORT_COUNT
+        port = first + next(port_steps) % size
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
--- a/packages/turmericyard-bench/src/turmericyard_bench/standins/engine/application.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/standins/engine/application.py
@@ -30,9 +30,10 @@
     create_fetch,
     read_weights,
 )
+from turmericyard_http.answer_writer import Limits
 from turmericyard_http.client import ClientStream
 from turmericyard_http.clock import boot_seconds
-from turmericyard_http.exchange import Handler, Limits
+from turmericyard_http.exchange import Handler
 from turmericyard_http.server import (
     listener_port,
     open_listener,
--- a/packages/turmericyard-bench/src/turmericyard_bench/standins/engine/control.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/standins/engine/control.py
@@ -9,8 +9,8 @@
 from turmericyard_bench.standins.engine.application import EngineApplication
 from turmericyard_bench.standins.engine.protocol import EngineProtocol
 from turmericyard_bench.transcript import word_token
+from turmericyard_http.answer_writer import Answer
 from turmericyard_http.clock import boot_seconds
-from turmericyard_http.exchange import Answer
 from turmericyard_http.messages import Request
 
 
--- a/packages/turmericyard-bench/src/turmericyard_bench/standins/engine/protocol.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/standins/engine/protocol.py
@@ -20,8 +20,8 @@
     prompt_digest,
     text_stem,
 )
+from turmericyard_http.answer_writer import Answer
 from turmericyard_http.clock import boot_seconds
-from turmericyard_http.exchange import Answer
 from turmericyard_http.messages import (
     Request,
     Response,
--- a/packages/turmericyard-bench/src/turmericyard_bench/standins/process.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/standins/process.py
@@ -7,7 +7,7 @@
 import click
 import curio
 
-from turmericyard_http.exchange import Answer
+from turmericyard_http.answer_writer import Answer
 from turmericyard_http.messages import Request, Response, json_response
 from turmericyard_http.server import (
     listener_port,
--- a/packages/turmericyard-bench/src/turmericyard_bench/standins/service.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/standins/service.py
@@ -21,8 +21,8 @@
     run_standin,
 )
 from turmericyard_bench.standins.service_ledger import Run, ServiceLedger
+from turmericyard_http.answer_writer import Answer
 from turmericyard_http.clock import boot_seconds
-from turmericyard_http.exchange import Answer
 from turmericyard_http.messages import (
     Request,
     Response,
--- a/packages/turmericyard-bench/src/turmericyard_bench/standins/weights_store.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/standins/weights_store.py
@@ -21,8 +21,8 @@
     port_options,
     run_standin,
 )
+from turmericyard_http.answer_writer import Answer
 from turmericyard_http.clock import boot_seconds
-from turmericyard_http.exchange import Answer
 from turmericyard_http.messages import Request, StreamResponse, json_response
 
 TOO_MANY_REQUESTS = 429
--- a/packages/turmericyard-http/src/turmericyard_http/client.py
+++ b/packages/turmericyard-http/src/turmericyard_http/client.py
@@ -43,6 +43,8 @@
     address: str
     connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS
     clock: Callable[[], float] = boot_seconds
+    #: How long sent bytes may stay unacknowledged; 0 leaves it to the system.
+    user_timeout_seconds: float = 0
     idle: list[ClientConnection] = field(default_factory=list)
 
     async def request(
@@ -143,7 +145,7 @@
             await pooled.close()
         try:
             async with curio.timeout_after(self.connect_timeout_seconds):
-                return await connect(self.address)
+                return await connect(self.address, self.user_timeout_seconds)
         except curio.TaskTimeout:
             return NotSent(self.address, 'connect timeout')
         except OSError as error:
--- a/packages/turmericyard-http/src/turmericyard_http/connection.py
+++ b/packages/turmericyard-http/src/turmericyard_http/connection.py
@@ -10,7 +10,7 @@
 import curio
 import h11
 
-from turmericyard_http.messages import Response
+from turmericyard_http.messages import Headers, Response
 
 RECEIVE_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
@@ -49,16 +49,35 @@
         payload += send(h11.EndOfMessage()) or b''
         await self.sock.sendall(payload)
 
+    async def send_lines(
+        self, method: bytes, target: bytes, lines: Headers, body: bytes
+    ) -> None:
+        """Send a whole request whose header lines pass unchanged."""
+        send = self.protocol.send
+        head = h11.Request(method=method, target=target, headers=list(lines))
+        payload = send(head) or b''
+        if body:
+            payload += send(h11.Data(data=body)) or b''
+        payload += send(h11.EndOfMessage()) or b''
+        await self.sock.sendall(payload)
+
     async def read_head(self) -> tuple[int, dict[str, str]]:
         """Return status and headers; raises EOFError when cut short."""
+        status, lines = await self.read_lines()
+        headers = {
+            name.decode('latin-1'): text.decode('latin-1')
+            for name, text in lines
+        }
+        return status, headers
+
+    async def read_lines(self) -> tuple[int, Headers]:
+        """Return status and header lines; raises as `read_head`."""
         while True:
             event = await self.next_event()
             if isinstance(event, h11.Response):
-                headers = {
-                    name.decode('latin-1'): text.decode('latin-1')
-                    for name, text in event.headers
-                }
-                return event.status_code, headers
+                return event.status_code, tuple(
+                    (bytes(name), bytes(text)) for name, text in event.headers
+                )
             if isinstance(event, h11.ConnectionClosed):
                 raise EOFError('connection closed before the answer')
 
@@ -128,11 +147,30 @@
     return h11.Request(method=method, target=target, headers=list(lines))
 
 
-async def connect(address: str) -> ClientConnection:
+def set_user_timeout(sock: Any, seconds: float) -> None:
+    """Let the system end a connection whose bytes stay unacknowledged.
+
+    The same bound holds for a connection that only waits: the peer is probed
+    every second.
+    """
+    tcp = system_socket.IPPROTO_TCP
+    milliseconds = int(seconds * 1000)
+    sock.setsockopt(tcp, system_socket.TCP_USER_TIMEOUT, milliseconds)
+    sock.setsockopt(system_socket.SOL_SOCKET, system_socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, system_socket.TCP_KEEPIDLE, 1)
+    sock.setsockopt(tcp, system_socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(tcp, system_socket.TCP_KEEPCNT, max(1, int(seconds)))
+
+
+async def connect(
+    address: str, user_timeout_seconds: float = 0
+) -> ClientConnection:
     """Return a new connection to `ip:port`; raises OSError."""
     host, _, port = address.rpartition(':')
     sock = curio.socket.socket(system_socket.AF_INET, system_socket.SOCK_STREAM)
     sock.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_NODELAY, 1)
+    if user_timeout_seconds:
+        set_user_timeout(sock, user_timeout_seconds)
     try:
         await sock.connect((host, int(port)))
     except BaseException:
--- a/packages/turmericyard-http/src/turmericyard_http/exchange.py
+++ b/packages/turmericyard-http/src/turmericyard_http/exchange.py
@@ -1,66 +1,34 @@
 """The server side of one connection: its requests and answers."""
 
-import os
 import socket as system_socket
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from dataclasses import dataclass
 from typing import Any, TypeAlias
 
 import curio
 import h11
 
+from turmericyard_http.answer_writer import (
+    Answer,
+    AnswerWriter,
+    Limits,
+    ServerState,
+)
 from turmericyard_http.connection import has_input
 from turmericyard_http.messages import (
     Request,
-    Response,
-    StreamResponse,
     json_response,
     split_target,
 )
 
-Answer: TypeAlias = Response | StreamResponse
 Handler: TypeAlias = Callable[[Request], Awaitable[Answer]]
 
 RECEIVE_BYTES = 65_536
 BAD_REQUEST = 400
 PAYLOAD_TOO_LARGE = 413
 INTERNAL_ERROR = 500
-
-
-@dataclass(frozen=True, slots=True)
-class Limits:
-    """Bounds of one connection, in bytes and seconds."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 1_048_576
-    idle_seconds: float = 60
-    send_seconds: float = 30
-    #: How long an ending server waits for handshakes under way.
-    handshake_seconds: float = 0.1
-    #: How long an ending server waits for a request on an idle connection.
-    last_request_seconds: float = 0.5
-    #: How long an ending server waits for the rest of a request.
-    rest_seconds: float = 5
-    #: How long input is read and dropped after the last answer.
-    linger_seconds: float = 0.25
-
-
-@dataclass(slots=True)
-class ServerState:
-    """How far a server is towards its end, shared by its connections."""
-
-    #: Each answer is the last one of its connection.
-    leaving: bool = False
-    #: No connection is accepted any more; idle ones end.
-    finishing: bool = False
-
-    def headers_of(self, answer: Answer) -> list[tuple[str, str]]:
-        """Return the headers, with the announced end of the connection."""
-        headers = dict(answer.headers)
-        if self.leaving:
-            headers['connection'] = 'close'
-        return list(headers.items())
+#: Input of a client that sends on while it is answered, in bytes.
+MAX_EARLY_INPUT = 262_144
 
 
 class RequestTooLarge(Exception):
@@ -78,6 +46,7 @@
         self.connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
+        self.writer = AnswerWriter(sock, self.connection, limits, state)
 
     @property
     def idle(self) -> bool:
@@ -136,12 +105,47 @@
             return False
         if request is None:
             return False
-        await self.send_answer(await handler(request))
+        if self.limits.watch_client:
+            await self.answer_watched(handler, request)
+        else:
+            await self.answer(handler, request)
         return (
             self.connection.our_state is h11.DONE
             and self.connection.their_state is h11.DONE
         )
 
+    async def answer(self, handler: Handler, request: Request) -> None:
+        """Send the handler's answer."""
+        await self.writer.send_answer(await handler(request))
+
+    async def answer_watched(self, handler: Handler, request: Request) -> None:
+        """Answer, and cancel the handler when the client goes away."""
+        answering = await curio.spawn(self.answer, handler, request)
+        watching = await curio.spawn(self.cancel_when_gone, answering)
+        try:
+            await answering.join()
+        except curio.TaskError as error:
+            raise ConnectionAbortedError from error.__cause__
+        finally:
+            await watching.cancel()
+            await answering.cancel()
+
+    async def cancel_when_gone(self, answering: Any) -> None:
+        """Read ahead until the client ends its connection."""
+        early = 0
+        while early < MAX_EARLY_INPUT:
+            try:
+                received = await self.sock.recv(RECEIVE_BYTES)
+            except OSError:
+                break
+            if not received:
+                break
+            early += len(received)
+            self.connection.receive_data(received)
+        else:
+            return
+        await answering.cancel(blocking=False)
+
     async def refuse(self, status: int, kind: str) -> None:
         """Answer a request that could not be read."""
         if self.connection.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
@@ -152,7 +156,7 @@
             'message': f'{kind}: send a smaller or well-formed request',
         }
         headers = {'connection': 'close', 'x-outcome': 'not-run'}
-        await self.send_whole(json_response(status, payload, headers))
+        await self.writer.send_whole(json_response(status, payload, headers))
 
     async def read_request(self) -> Request | None:
         """Return the next request, or None when the client is done."""
@@ -167,7 +171,13 @@
             for name, value in head.headers
         }
         return Request(
-            head.method.decode('latin-1'), path, query, headers, body
+            head.method.decode('latin-1'),
+            path,
+            query,
+            headers,
+            body,
+            bytes(head.target),
+            tuple((bytes(name), bytes(text)) for name, text in head.headers),
         )
 
     async def read_body(self) -> bytes:
@@ -188,73 +198,13 @@
             if event is not h11.NEED_DATA:
                 return event
             if self.connection.they_are_waiting_for_100_continue:
-                await self.send_event(
+                await self.writer.send_event(
                     h11.InformationalResponse(status_code=100, headers=[])
                 )
             received = await self.sock.recv(RECEIVE_BYTES)
             if not (received and self.ended):
                 self.connection.receive_data(received)
 
-    async def send_event(self, event: Any) -> None:
-        """Send one h11 event."""
-        payload = self.connection.send(event)
-        if payload:
-            await self.send_bounded(payload)
-
-    async def send_answer(self, answer: Answer) -> None:
-        """Send a whole or a streamed response."""
-        if isinstance(answer, StreamResponse):
-            await self.send_stream(answer)
-        else:
-            await self.send_whole(answer)
-
-    async def send_whole(self, response: Response) -> None:
-        """Send head, body and end in one write."""
-        headers = self.state.headers_of(response)
-        headers.append(('content-length', str(len(response.body))))
-        send = self.connection.send
-        head = h11.Response(status_code=response.status, headers=headers)
-        payload = send(head)
-        payload += send(h11.Data(data=response.body))
-        payload += send(h11.EndOfMessage())
-        await self.send_bounded(payload)
-
-    async def send_stream(self, response: StreamResponse) -> None:
-        """Send chunks as they come; the source is closed in every case.
-
-        The head goes out together with the first chunk.
-        """
-        headers = self.state.headers_of(response)
-        headers.append(('transfer-encoding', 'chunked'))
-        send = self.connection.send
-        head = h11.Response(status_code=response.status, headers=headers)
-        try:
-            await self.send_chunks(send(head), response.chunks)
-        finally:
-            await close_chunks(response.chunks)
-        await self.send_event(h11.EndOfMessage())
-
-    async def send_chunks(
-        self, head: bytes, chunks: AsyncIterator[bytes]
-    ) -> None:
-        """Send the head and each chunk as one chunk of the body."""
-        send = self.connection.send
-        async for chunk in chunks:
-            payload = send(h11.Data(data=chunk))
-            if head:
-                payload = head + payload
-                head = b''
-            await self.send_bounded(payload)
-        if head:
-            await self.send_bounded(head)
-
-    async def send_bounded(self, payload: bytes) -> None:
-        """Send within the time limit; raises TaskTimeout past it."""
-        sent = write_now(self.sock, payload)
-        if sent < len(payload):
-            async with curio.timeout_after(self.limits.send_seconds):
-                await self.sock.sendall(payload[sent:])
-
 
 async def drop_input(sock: Any) -> None:
     """Read and drop until the peer's end."""
@@ -267,22 +217,3 @@
     """Shut a connection down in one direction, under its reader."""
     with suppress(OSError):
         await sock.shutdown(direction)
-
-
-def write_now(sock: Any, payload: bytes) -> int:
-    """Write what the socket's buffer takes; return how many bytes.
-
-    A time limit costs more than the write itself, so that the common case of
-    room in the buffer goes without one.
-    """
-    try:
-        return os.write(sock.fileno(), payload)
-    except BlockingIOError:
-        return 0
-
-
-async def close_chunks(chunks: AsyncIterator[bytes]) -> None:
-    """Close an asynchronous generator; other iterators need nothing."""
-    close = getattr(chunks, 'aclose', None)
-    if close is not None:
-        await close()
--- a/packages/turmericyard-http/src/turmericyard_http/messages.py
+++ b/packages/turmericyard-http/src/turmericyard_http/messages.py
@@ -2,21 +2,29 @@
 
 from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeAlias
 from urllib.parse import parse_qsl, quote, unquote, urlsplit
 
 import orjson
 
+#: Header lines in their order, names in lower case.
+Headers: TypeAlias = tuple[tuple[bytes, bytes], ...]
+
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """One request; header names are lower case, `path` is unquoted."""
+    """One request; header names are lower case, `path` is unquoted.
+
+    `target` and `lines` are as received, for servers that pass them on.
+    """
 
     method: str
     path: str
     query: Mapping[str, str] = field(default_factory=dict)
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b''
+    target: bytes = b''
+    lines: Headers = ()
 
 
 @dataclass(slots=True)
@@ -44,6 +52,21 @@
     headers: dict[str, str] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class OpaqueResponse:
+    """An answer passed on from elsewhere: its lines may repeat a name.
+
+    It has a whole `body`, or `chunks` that are sent as they come. Chunks that
+    raise OSError break the connection off, so that a cut answer never looks
+    whole.
+    """
+
+    status: int
+    lines: Headers
+    body: bytes = b''
+    chunks: AsyncIterator[bytes] | None = None
+
+
 def json_response(
     status: int, payload: Any, headers: Mapping[str, str] | None = None
 ) -> Response:
--- a/packages/turmericyard-http/src/turmericyard_http/server.py
+++ b/packages/turmericyard-http/src/turmericyard_http/server.py
@@ -13,14 +13,9 @@
 import curio
 import h11
 
-from turmericyard_http.connection import has_input
-from turmericyard_http.exchange import (
-    Handler,
-    Limits,
-    ServerExchange,
-    ServerState,
-    shut_down,
-)
+from turmericyard_http.answer_writer import Limits, ServerState
+from turmericyard_http.connection import has_input, set_user_timeout
+from turmericyard_http.exchange import Handler, ServerExchange, shut_down
 from turmericyard_http.handshake_filter import drop_new_handshakes
 from turmericyard_http.tasks import BackgroundTasks
 
@@ -132,6 +127,8 @@
     async def serve_connection(self, sock: Any) -> None:
         """Answer the requests of a connection until either side ends it."""
         sock.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_NODELAY, 1)
+        if self.limits.user_timeout_seconds:
+            set_user_timeout(sock, self.limits.user_timeout_seconds)
         exchange = ServerExchange(sock, self.limits, self.state)
         self.exchanges.add(exchange)
         async with sock:
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
@@ -0,0 +1,174 @@
+"""The forwarding application: owns its parts and their life cycle."""
+
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import curio
+
+from turmericyard_http.answer_writer import Limits
+from turmericyard_http.clock import Clock
+from turmericyard_http.exchange import Handler
+from turmericyard_http.server import HttpServer, open_listener
+from turmericyard_http.tasks import BackgroundTasks
+from turmericyard_node.contact import Contact
+from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.discovery import Discovery
+from turmericyard_node.forwarding.endpoint_book import Endpoint
+from turmericyard_node.forwarding.entry import Entry
+from turmericyard_node.forwarding.fleet import Fleet
+from turmericyard_node.forwarding.follow import Follower
+from turmericyard_node.forwarding.intake import Intake
+from turmericyard_node.forwarding.knowledge import Knowledge
+from turmericyard_node.forwarding.moves import Mover
+from turmericyard_node.forwarding.waiting import WaitingRoom
+from turmericyard_ports.border import Border
+from turmericyard_ports.configuration import ClientLimits
+from turmericyard_ports.settings import ForwardingSettings
+
+#: Time without a new request after which an ending node stops, in seconds.
+QUIET_SECONDS = 0.5
+#: How long an ending node goes on taking requests, in seconds: clients keep
+#: its address that long.
+LEAVE_SECONDS = 2.5
+#: Part of the grace that is left for the last answers, in seconds.
+LAST_SECONDS = 0.8
+#: Time between two looks for endpoints that leave, in seconds.
+DEPARTURE_SECONDS = 0.02
+#: How long a failed loop rests before it runs again, in seconds.
+RESTART_SECONDS = 0.2
+#: Time beyond the clients' own limit for which a connection may idle, so that
+#: the node does not close it under a request.
+IDLE_MARGIN_SECONDS = 5.0
+#: How long bytes to a client may stay unacknowledged, in seconds.
+CLIENT_TIMEOUT_SECONDS = 8.0
+
+Loop = Callable[[], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class ForwardingApplication:
+    """One node of a fleet that forwards requests."""
+
+    settings: ForwardingSettings
+    border: Border
+    clock: Clock
+    contact: Contact
+    knowledge: Knowledge
+    follower: Follower
+    fleet: Fleet
+    discovery: Discovery
+    room: WaitingRoom
+    intake: Intake
+    entry: Entry
+    mover: Mover
+    tasks: BackgroundTasks
+    servers: list[HttpServer] = field(default_factory=list)
+    departures: deque[Endpoint] = field(default_factory=deque)
+    leaving: bool = False
+
+    def is_ready(self) -> bool:
+        """Return whether clients may be sent here."""
+        return not self.leaving and self.knowledge.table is not None
+
+    async def start(self) -> None:
+        """Open the listeners and start the loops."""
+        await self.open_listeners()
+        loops: tuple[Loop, ...] = (
+            self.follower.run,
+            self.fleet.run_beats,
+            self.fleet.run_notices,
+            self.fleet.run_repairs,
+            self.discovery.run_membership,
+            self.discovery.run_seeds,
+            self.room.run,
+            self.move_departing,
+        )
+        for loop in loops:
+            await self.tasks.spawn(self.keep_running, loop)
+        log_event(
+            Event.NODE_STARTED,
+            node=self.settings.node,
+            incarnation=self.fleet.own.incarnation,
+        )
+
+    async def open_listeners(self) -> None:
+        """Open the listeners towards clients, the platform and peers."""
+        await self.tasks.spawn(
+            self.fleet.mesh.serve, listen(self.settings.peers)
+        )
+        bounds = ClientLimits()
+        client_limits = Limits(
+            bounds.header_bytes,
+            bounds.body_bytes,
+            bounds.idle_seconds + IDLE_MARGIN_SECONDS,
+            watch_client=True,
+            user_timeout_seconds=CLIENT_TIMEOUT_SECONDS,
+        )
+        interfaces: tuple[tuple[str, Handler, Limits], ...] = (
+            (self.settings.callers, self.intake.answer, client_limits),
+            (self.settings.readiness, self.entry.answer, Limits()),
+            (self.settings.control, self.entry.answer, Limits()),
+            (self.settings.directory, self.entry.answer, Limits()),
+        )
+        for address, handler, limits in interfaces:
+            server = HttpServer(listen(address), handler, limits)
+            self.servers.append(server)
+            await self.tasks.spawn(server.run)
+
+    async def keep_running(self, loop: Loop) -> None:
+        """Run a loop again when it fails, so that no fault ends it."""
+        while True:
+            try:
+                await loop()
+            except Exception as error:  # noqa: BLE001  logged; it goes on
+                log_event(
+                    Event.HANDLER_FAILED,
+                    loop=getattr(loop, '__qualname__', repr(loop)),
+                    message=repr(error),
+                )
+            await curio.sleep(RESTART_SECONDS)
+
+    async def move_departing(self) -> None:
+        """Move the runs of endpoints that leave."""
+        while True:
+            await curio.sleep(DEPARTURE_SECONDS)
+            while self.departures:
+                endpoint = self.departures.popleft()
+                await self.tasks.spawn(self.mover.leave, endpoint)
+
+    async def stop(self) -> None:
+        """Leave without cutting a request, within the platform's grace."""
+        started_at = self.clock()
+        ends_at = started_at + self.settings.bounds.grace_seconds
+        self.leaving = True
+        self.intake.leaving = True
+        log_event(Event.NODE_DRAINING)
+        for server in self.servers:
+            server.announce_leaving()
+        await self.fleet.tell()
+        await self.wait_quiet(started_at + LEAVE_SECONDS, ends_at)
+        async with curio.ignore_after(LAST_SECONDS):
+            await self.servers[0].finish(LAST_SECONDS)
+        async with curio.ignore_after(LAST_SECONDS / 2):
+            await self.fleet.membership.leave()
+        log_event(Event.NODE_STOPPED, node=self.settings.node)
+        await self.tasks.cancel_all()
+        await self.fleet.mesh.close()
+
+    async def wait_quiet(self, earliest: float, ends_at: float) -> None:
+        """Wait until nothing is served and no new request comes."""
+        seen = -1
+        while self.clock() < ends_at - 2 * LAST_SECONDS:
+            busy = self.intake.open_requests or self.mover.book.runs
+            quiet = not busy and seen == self.intake.seen
+            if quiet and self.clock() >= earliest:
+                return
+            seen = self.intake.seen
+            await curio.sleep(QUIET_SECONDS)
+
+
+def listen(address: str) -> object:
+    """Return a listener; raises OSError when the address is not free."""
+    host, _, port = address.rpartition(':')
+    return open_listener(host, int(port))
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -0,0 +1,151 @@
+"""Joins the parts of a forwarding node."""
+
+from uuid import uuid4
+
+from turmericyard_http.clock import boot_seconds
+from turmericyard_http.tasks import BackgroundTasks
+from turmericyard_node.contact import Contact
+from turmericyard_node.forwarding.application import ForwardingApplication
+from turmericyard_node.forwarding.calls import CallForwarder
+from turmericyard_node.forwarding.discovery import Discovery
+from turmericyard_node.forwarding.entry import Entry
+from turmericyard_node.forwarding.fleet import LIVE_SECONDS, Fleet
+from turmericyard_node.forwarding.follow import Follower
+from turmericyard_node.forwarding.intake import Intake
+from turmericyard_node.forwarding.knowledge import Knowledge, create_knowledge
+from turmericyard_node.forwarding.load_book import LoadBook
+from turmericyard_node.forwarding.moves import Mover
+from turmericyard_node.forwarding.placer import Placer
+from turmericyard_node.forwarding.runs import RunBook
+from turmericyard_node.forwarding.sending import Sender
+from turmericyard_node.forwarding.streams import StreamForwarder
+from turmericyard_node.forwarding.waiting import WaitingRoom
+from turmericyard_node.members import Member, Membership
+from turmericyard_node.peers.identity import Identity
+from turmericyard_node.peers.mesh import PeerMesh
+from turmericyard_platform.store import Store
+from turmericyard_ports.border import Border
+from turmericyard_ports.settings import ForwardingSettings
+
+#: How long a record outlives its node, in seconds.
+MEMBER_TTL_SECONDS = 10.0
+#: The mesh needs no secret where the platform closes its network.
+OPEN_NETWORK_SECRET = b'turmericyard'
+
+
+def create_forwarding(
+    settings: ForwardingSettings, border: Border
+) -> ForwardingApplication:
+    """Return the application of checked settings, not yet started."""
+    store = border.open_store(settings)
+    now = boot_seconds()
+    contact = Contact(LIVE_SECONDS, now - LIVE_SECONDS, LIVE_SECONDS)
+    knowledge = create_knowledge(border, boot_seconds)
+    fleet = create_fleet(settings, store, contact, knowledge)
+    discovery = Discovery(fleet, other_seeds(settings))
+    knowledge.view.listeners.append(discovery.observe)
+    placer = Placer(
+        knowledge,
+        fleet.loads,
+        settings.bounds,
+        settings.zone,
+        boot_seconds,
+        fleet.size,
+    )
+    room = WaitingRoom(placer, boot_seconds)
+    intake, mover = create_forwarders(border, settings, fleet, room)
+    application = ForwardingApplication(
+        settings,
+        border,
+        boot_seconds,
+        contact,
+        knowledge,
+        Follower(store, contact, knowledge, boot_seconds),
+        fleet,
+        discovery,
+        room,
+        intake,
+        Entry(border, fleet, settings.bounds.address_ttl_seconds),
+        mover,
+        BackgroundTasks(),
+    )
+    fleet.is_ready = application.is_ready
+    knowledge.book.listeners.append(application.departures.append)
+    return application
+
+
+def other_seeds(settings: ForwardingSettings) -> tuple[str, ...]:
+    """Return the seeds without this node."""
+    return tuple(seed for seed in settings.seeds if seed != settings.control)
+
+
+def create_fleet(
+    settings: ForwardingSettings,
+    store: Store,
+    contact: Contact,
+    knowledge: Knowledge,
+) -> Fleet:
+    """Return this node among its peers."""
+    own = Member(
+        settings.node,
+        uuid4().hex,
+        settings.zone,
+        settings.node,
+        settings.peers,
+        settings.callers,
+        settings.control,
+    )
+    membership = Membership(
+        own, store, contact, boot_seconds, MEMBER_TTL_SECONDS
+    )
+    membership.members[own.node] = own
+    mesh = PeerMesh(
+        Identity(own.node, own.incarnation, OPEN_NETWORK_SECRET),
+        receive_nothing,
+        settings.peers.rpartition(':')[0],
+    )
+    fleet = Fleet(
+        membership,
+        contact,
+        mesh,
+        knowledge,
+        LoadBook(),
+        boot_seconds,
+        is_not_ready,
+    )
+    mesh.receiver = fleet.receive
+    return fleet
+
+
+def create_forwarders(
+    border: Border,
+    settings: ForwardingSettings,
+    fleet: Fleet,
+    room: WaitingRoom,
+) -> tuple[Intake, Mover]:
+    """Return what carries requests and moves their runs."""
+    loads = fleet.loads
+    sender = Sender(border, settings.bounds, fleet, boot_seconds, {})
+    book = RunBook(loads)
+    streams = StreamForwarder(
+        border, sender, room, room.placer, loads, book, boot_seconds
+    )
+    calls = CallForwarder(border, sender, room, loads, boot_seconds)
+    intake = Intake(
+        border,
+        fleet.knowledge,
+        fleet.contact,
+        calls,
+        streams,
+        boot_seconds,
+    )
+    return intake, Mover(border, room.placer, loads, book, boot_seconds)
+
+
+def is_not_ready() -> bool:
+    """Return False until the application has its own answer."""
+    return False
+
+
+async def receive_nothing(_payload: object, _sender: str) -> None:
+    """Receive nothing until the fleet exists."""
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/command.py
@@ -0,0 +1,56 @@
+"""Runs a node that forwards requests on a platform."""
+
+import signal
+import sys
+from importlib import import_module
+
+import click
+import curio
+from returns.result import Success
+
+from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.application import ForwardingApplication
+from turmericyard_node.forwarding.assembly import create_forwarding
+from turmericyard_node.forwarding.log_output import log_to
+from turmericyard_node.signals import STOP_SIGNALS, watch_signals
+from turmericyard_ports.border import Border
+
+EXIT_SETTINGS = 2
+EXIT_ADDRESS = 3
+
+
+def run(adapter: str) -> None:
+    """Run one node with the adapter package until SIGTERM."""
+    border: Border = import_module(adapter).create_border()
+    read = border.read_settings()
+    if not isinstance(read, Success):
+        click.echo(read.failure(), err=True)
+        sys.exit(EXIT_SETTINGS)
+    log_to(sys.stdout.fileno())
+    application = create_forwarding(read.unwrap(), border)
+    try:
+        curio.run(serve, application)
+    except OSError as error:
+        click.echo(f'{error}: free the addresses in the settings', err=True)
+        sys.exit(EXIT_ADDRESS)
+
+
+async def serve(application: ForwardingApplication) -> None:
+    """Start, follow signals and end at the first stop signal."""
+    wakeup = watch_signals((*STOP_SIGNALS, signal.SIGHUP))
+    await application.start()
+    async with wakeup:
+        while (await wakeup.recv(1))[0] == signal.SIGHUP:
+            reload_settings(application)
+    await application.stop()
+
+
+def reload_settings(application: ForwardingApplication) -> None:
+    """Take over settings that may change while a node runs."""
+    read = application.border.read_settings()
+    if not isinstance(read, Success):
+        log_event(Event.NODE_RELOADED, outcome=read.failure())
+        return
+    settings = read.unwrap()
+    application.discovery.seeds = settings.seeds
+    log_event(Event.NODE_RELOADED, outcome='done', seeds=settings.seeds)
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_book.py
@@ -0,0 +1,127 @@
+"""The endpoints that are known, with what holds of each one now.
+
+A record that goes while the store is in trouble may come back: its endpoint
+stays until the store has answered for `LAPSE_SECONDS`.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from turmericyard_decisions.outlier import Evidence
+from turmericyard_decisions.repeat_budget import ColdRate
+from turmericyard_node.events import Event, log_event
+from turmericyard_ports.endpoint import EndpointRecord, EndpointState
+
+#: Time in which living endpoints renew lapsed records after an outage, as the
+#: platform states it, in seconds.
+LAPSE_SECONDS = 2.0
+#: How long the store counts as in trouble after its last failure, in seconds.
+TROUBLE_SECONDS = 1.5
+
+
+@dataclass(slots=True, eq=False)
+class Endpoint:
+    """One start of an endpoint.
+
+    `gone_at` is when a lapsed record counts as gone, None while it stands.
+    """
+
+    record: EndpointRecord
+    cold_until: float = 0
+    leaving_since: float | None = None
+    gone_at: float | None = None
+    evidence: Evidence = field(default_factory=Evidence)
+    cold_rate: ColdRate = field(default_factory=ColdRate)
+
+    @property
+    def identity(self) -> str:
+        """Return the identity under which it is registered."""
+        return self.record.identity
+
+    def usable(self, now: float) -> bool:
+        """Return whether it may get new requests."""
+        if self.leaving_since is not None:
+            return False
+        return self.gone_at is None or now < self.gone_at
+
+
+LeavingListener = Callable[[Endpoint], None]
+
+
+@dataclass(slots=True)
+class EndpointBook:
+    """Endpoints by identity; listeners hear of each one that leaves."""
+
+    endpoints: dict[str, Endpoint] = field(default_factory=dict)
+    listeners: list[LeavingListener] = field(default_factory=list)
+    trouble_at: float = float('-inf')
+
+    def observe(self, record: EndpointRecord, now: float) -> None:
+        """Take over the present record of an endpoint."""
+        known = self.endpoints.get(record.identity)
+        if known is None or is_new_start(known.record, record):
+            known = Endpoint(record)
+            self.endpoints[record.identity] = known
+            log_event(
+                Event.ENDPOINT_FOUND,
+                endpoint=record.identity,
+                service=record.service,
+                address=record.address,
+                cold_seconds=record.cold_seconds,
+            )
+        known.record = record
+        known.gone_at = None
+        known.cold_until = now + record.cold_seconds
+        if record.state is EndpointState.LEAVING:
+            self.leave(known, now, 'announced')
+        elif known.leaving_since is not None:
+            known.leaving_since = None
+
+    def remove(self, identity: str, now: float) -> None:
+        """Note that the record of an endpoint has gone."""
+        known = self.endpoints.get(identity)
+        if known is None:
+            return
+        if now - self.trouble_at < TROUBLE_SECONDS:
+            known.gone_at = now + LAPSE_SECONDS
+            return
+        self.leave(known, now, 'removed')
+        self.endpoints.pop(identity)
+
+    def observe_trouble(self, now: float) -> None:
+        """Note that the store failed; lapsed records wait for its return."""
+        self.trouble_at = now
+        for endpoint in self.endpoints.values():
+            if endpoint.gone_at is not None:
+                endpoint.gone_at = now + LAPSE_SECONDS
+
+    def expire(self, now: float) -> None:
+        """Take lapsed records whose time has passed as gone."""
+        for identity, endpoint in tuple(self.endpoints.items()):
+            if endpoint.gone_at is not None and endpoint.gone_at <= now:
+                self.leave(endpoint, now, 'lapsed')
+                self.endpoints.pop(identity)
+
+    def leave(self, endpoint: Endpoint, now: float, sign: str) -> None:
+        """Note that an endpoint leaves and tell the listeners once."""
+        if endpoint.leaving_since is not None:
+            return
+        endpoint.leaving_since = now
+        log_event(Event.ENDPOINT_LEAVING, endpoint=endpoint.identity, sign=sign)
+        for listener in self.listeners:
+            listener(endpoint)
+
+    def of_service(self, service: str, now: float) -> Iterable[Endpoint]:
+        """Return the endpoints of a service that may get requests."""
+        return [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.record.service == service and endpoint.usable(now)
+        ]
+
+
+def is_new_start(known: EndpointRecord, record: EndpointRecord) -> bool:
+    """Return whether the record is of another start than the known one."""
+    if known.address != record.address or known.service != record.service:
+        return True
+    return record.born is not None and known.born != record.born
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/entry.py
@@ -0,0 +1,47 @@
+"""What is asked about the node itself: readiness, addresses, state."""
+
+from dataclasses import dataclass
+
+import orjson
+
+from turmericyard_http.answer_writer import Answer
+from turmericyard_http.messages import Request, Response
+from turmericyard_node.forwarding.discovery import MEMBERS_PATH
+from turmericyard_node.forwarding.fleet import Fleet
+from turmericyard_node.metrics import render_metrics
+from turmericyard_ports.border import Border
+
+OK = 200
+NOT_FOUND = 404
+UNAVAILABLE = 503
+METRICS_PATH = '/metrics'
+
+
+@dataclass(slots=True)
+class Entry:
+    """Answers the platform, clients that ask for addresses, and peers."""
+
+    border: Border
+    fleet: Fleet
+    address_ttl_seconds: float
+
+    async def answer(self, request: Request) -> Answer:
+        """Return the answer to a question about the node."""
+        if request.path == MEMBERS_PATH:
+            records = b','.join(self.fleet.membership.records())
+            return Response(OK, {}, b'[%s]' % records)
+        if request.path == METRICS_PATH:
+            return Response(
+                OK, {'content-type': 'text/plain'}, render_metrics()
+            )
+        asked = self.border.entry_call(request)
+        if asked == 'addresses':
+            zone = self.border.asked_zone(request)
+            return self.border.directory_answer(
+                self.fleet.addresses(zone), self.address_ttl_seconds
+            )
+        if asked == 'ready':
+            ready = self.fleet.is_ready()
+            status = OK if ready else UNAVAILABLE
+            return Response(status, {}, orjson.dumps({'ready': ready}))
+        return self.border.refusal(NOT_FOUND, 'nothing is served here')
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/intake.py
@@ -0,0 +1,154 @@
+"""The way of one request: decoded, matched, admitted, forwarded."""
+
+from dataclasses import dataclass, field
+from random import Random
+
+from returns.result import Success
+
+from turmericyard_http.answer_writer import Answer
+from turmericyard_http.clock import Clock
+from turmericyard_http.messages import Request
+from turmericyard_node.contact import Contact
+from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.calls import CallForwarder
+from turmericyard_node.forwarding.job import Job
+from turmericyard_node.forwarding.knowledge import Knowledge
+from turmericyard_node.forwarding.streams import StreamForwarder
+from turmericyard_ports.border import Border
+from turmericyard_ports.configuration import (
+    Kind,
+    Route,
+    RouteTable,
+    Workspace,
+)
+from turmericyard_ports.request import Arrival
+
+UNAUTHORIZED = 401
+NOT_FOUND = 404
+UNAVAILABLE = 503
+#: When a client is asked back whose route may be too new to be known here.
+RETURN_SECONDS = 0.5
+#: A view that neither store nor peers confirmed for so long may miss a new
+#: route or key, in seconds.
+STALE_SECONDS = 2.0
+
+
+@dataclass(slots=True)
+class Intake:
+    """Answers clients; `leaving` says that the process ends soon."""
+
+    border: Border
+    knowledge: Knowledge
+    contact: Contact
+    calls: CallForwarder
+    streams: StreamForwarder
+    clock: Clock
+    random: Random = field(default_factory=Random)
+    open_requests: int = 0
+    seen: int = 0
+    leaving: bool = False
+
+    async def answer(self, request: Request) -> Answer:
+        """Return the answer to a client's request."""
+        self.open_requests += 1
+        self.seen += 1
+        try:
+            return await self.serve(request)
+        finally:
+            self.open_requests -= 1
+
+    async def serve(self, request: Request) -> Answer:
+        """Decode, admit and forward a request."""
+        read = self.border.read_arrival(request, self.clock())
+        if not isinstance(read, Success):
+            return read.failure()
+        arrival = read.unwrap()
+        admitted = self.admit(arrival)
+        if not isinstance(admitted, Job):
+            self.log(arrival, admitted, '')
+            return admitted
+        answer = await self.forward(admitted)
+        self.log(arrival, answer, admitted.route.name)
+        return answer
+
+    async def forward(self, job: Job) -> Answer:
+        """Forward an admitted request by its kind."""
+        budget = self.calls.sender.budget(job.service.name)
+        budget.observe_request(self.clock())
+        if job.route.kind is not Kind.STREAM:
+            return await self.calls.forward(job)
+        if self.leaving:
+            return self.refuse(UNAVAILABLE, 'this node ends')
+        return await self.streams.forward(job)
+
+    def admit(self, arrival: Arrival) -> Job | Answer:
+        """Return the job of a request, or the answer that refuses it."""
+        table = self.knowledge.table
+        if table is None:
+            return self.refuse(UNAVAILABLE, 'no configuration is known yet')
+        route = table.find(arrival.host, arrival.path)
+        if route is None:
+            return self.refuse(NOT_FOUND, 'no route matches')
+        workspace = None
+        if table.configuration.has_workspaces and not route.open_to_all:
+            workspace = table.by_key.get(arrival.key or '')
+            if workspace is None:
+                return self.refuse(UNAUTHORIZED, 'the key is not known')
+        return self.create_job(table, arrival, route, workspace)
+
+    def create_job(
+        self,
+        table: RouteTable,
+        arrival: Arrival,
+        route: Route,
+        workspace: Workspace | None,
+    ) -> Job | Answer:
+        """Return the job for a service of the route."""
+        targets = route.targets
+        weights = [target.weight for target in targets]
+        if sum(weights) <= 0:
+            return self.refuse(UNAVAILABLE, 'the route has no service')
+        chosen = self.random.choices(targets, weights)[0]
+        service = table.configuration.services.get(chosen.service)
+        if service is None:
+            return self.refuse(UNAVAILABLE, 'the service is not known')
+        priority = route.priority
+        if workspace is not None and workspace.priority is not None:
+            priority = workspace.priority
+        return Job(
+            arrival,
+            route,
+            service,
+            workspace.name if workspace else None,
+            priority,
+            min(
+                arrival.deadline_at,
+                arrival.arrived_at + route.timeout_seconds,
+            ),
+        )
+
+    def refuse(self, status: int, detail: str) -> Answer:
+        """Return a refusal; one that rests on an old view asks back."""
+        if status != UNAVAILABLE and self.is_stale():
+            status = UNAVAILABLE
+        if status == UNAVAILABLE:
+            return self.border.refusal(status, detail, RETURN_SECONDS)
+        return self.border.refusal(status, detail)
+
+    def is_stale(self) -> bool:
+        """Return whether the view may miss news."""
+        heard = max(self.contact.store_at, self.contact.last_peer_at)
+        return self.clock() - heard > STALE_SECONDS
+
+    def log(self, arrival: Arrival, answer: Answer, route: str) -> None:
+        """Write the line of an answered request."""
+        table = self.knowledge.table
+        log_event(
+            Event.REQUEST_ANSWERED,
+            attempt=arrival.attempt,
+            route=route,
+            status=answer.status,
+            seconds=round(self.clock() - arrival.arrived_at, 4),
+            version=table.configuration.version if table else None,
+            revision=self.knowledge.view.revision,
+        )
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
@@ -0,0 +1,55 @@
+"""One request on its way through the node."""
+
+from dataclasses import dataclass, field
+
+from turmericyard_ports.configuration import Route, Service
+from turmericyard_ports.request import Arrival
+
+#: Share of the most output tokens taken where a caller gives no estimate.
+LIKELY_SHARE = 0.4
+#: Urgencies that endpoints tell apart; 0 is served first.
+LAST_URGENCY = 9
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A request with its route; `deadline_at` also keeps the route's limit."""
+
+    arrival: Arrival
+    route: Route
+    service: Service
+    workspace: str | None
+    priority: int
+    deadline_at: float
+    #: Identities of endpoints that this request does not go to again.
+    excluded: set[str] = field(default_factory=set)
+    #: Sends of this request to endpoints, also those that did not run it.
+    sends: int = 0
+
+    @property
+    def attempt(self) -> str:
+        """Return the id of the client's attempt."""
+        return self.arrival.attempt
+
+    @property
+    def urgency(self) -> int:
+        """Return the urgency towards endpoints."""
+        return min(max(self.priority, 0), LAST_URGENCY)
+
+    def seconds_left(self, now: float) -> float:
+        """Return the time until the request is given up."""
+        return self.deadline_at - now
+
+    def likely_output(self) -> float:
+        """Return the expected output of a generation, in tokens."""
+        prompt = self.arrival.prompt
+        if prompt is None:
+            return 0
+        if prompt.likely_output is not None:
+            return min(prompt.likely_output, prompt.max_output)
+        return LIKELY_SHARE * prompt.max_output
+
+    def memory_tokens(self) -> float:
+        """Return the forecast of the memory that a generation takes."""
+        prompt = self.arrival.prompt
+        return (prompt.tokens if prompt else 0) + self.likely_output()
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/knowledge.py
@@ -0,0 +1,113 @@
+"""What the node knows of the platform: configuration, zones, endpoints."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from returns.result import Success
+
+from turmericyard_http.clock import Clock
+from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.endpoint_book import Endpoint, EndpointBook
+from turmericyard_node.forwarding.view import StoreView
+from turmericyard_platform.store import Change
+from turmericyard_ports.border import Border
+from turmericyard_ports.configuration import (
+    Configuration,
+    RouteTable,
+    Service,
+    index_routes,
+)
+
+
+@dataclass(slots=True)
+class Knowledge:
+    """Follows a view of the store and keeps its meaning at hand."""
+
+    border: Border
+    clock: Clock
+    view: StoreView = field(default_factory=StoreView)
+    book: EndpointBook = field(default_factory=EndpointBook)
+    table: RouteTable | None = None
+    closed_zones: dict[str, int] = field(default_factory=dict)
+
+    def observe(self, change: Change) -> None:
+        """Take over one change of the store."""
+        if change.key.startswith(self.border.operator_prefix):
+            self.observe_operator(change)
+        elif change.key.startswith(self.border.endpoint_prefix):
+            self.observe_endpoint(change)
+
+    def observe_operator(self, change: Change) -> None:
+        """Take over what the operators wrote."""
+        zone = self.border.closed_zone(change.key)
+        if zone is not None:
+            self.observe_zone(zone, change)
+            return
+        if change.value is None:
+            return
+        read = self.border.read_configuration(change.key, change.value)
+        if read is None:
+            return
+        if isinstance(read, Success):
+            self.observe_configuration(read.unwrap(), change.revision)
+        else:
+            log_event(Event.CONFIGURATION_REFUSED, message=read.failure())
+
+    def observe_zone(self, zone: str, change: Change) -> None:
+        """Close a zone to new requests, or open it."""
+        if change.value is None:
+            self.closed_zones.pop(zone, None)
+            log_event(Event.ZONE_OPENED, zone=zone, revision=change.revision)
+            return
+        self.closed_zones[zone] = change.revision
+        log_event(Event.ZONE_CLOSED, zone=zone, revision=change.revision)
+
+    def observe_configuration(
+        self, configuration: Configuration, revision: int
+    ) -> None:
+        """Put a configuration in force unless it is older."""
+        known = self.table
+        if known and known.configuration.version >= configuration.version:
+            return
+        self.table = index_routes(configuration)
+        log_event(
+            Event.CONFIGURATION_ACCEPTED,
+            version=configuration.version,
+            revision=revision,
+            routes=len(configuration.routes),
+        )
+
+    def observe_endpoint(self, change: Change) -> None:
+        """Take over the record of an endpoint."""
+        identity = change.key.removeprefix(self.border.endpoint_prefix)
+        now = self.clock()
+        if change.value is None:
+            self.book.remove(identity, now)
+            return
+        read = self.border.read_endpoint(change.key, change.value)
+        if isinstance(read, Success):
+            self.book.observe(read.unwrap(), now)
+            return
+        log_event(Event.ENDPOINT_UNREADABLE, message=read.failure())
+        self.book.remove(identity, now)
+
+    def endpoints(self, service: str) -> Iterable[Endpoint]:
+        """Return the endpoints that may get requests of a service."""
+        return [
+            endpoint
+            for endpoint in self.book.of_service(service, self.clock())
+            if endpoint.record.zone not in self.closed_zones
+        ]
+
+    def service(self, name: str) -> Service | None:
+        """Return a service of the configuration in force."""
+        if self.table is None:
+            return None
+        return self.table.configuration.services.get(name)
+
+
+def create_knowledge(border: Border, clock: Clock) -> Knowledge:
+    """Return knowledge that follows a new view."""
+    knowledge = Knowledge(border, clock)
+    knowledge.view.listeners.append(knowledge.observe)
+    return knowledge
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/log_output.py
@@ -0,0 +1,53 @@
+"""Writes log lines to standard output without ever blocking on it."""
+
+import os
+import time
+from dataclasses import dataclass
+
+from eliot import FileDestination, add_destinations
+
+#: Lines a second that are written; more are dropped and counted.
+LINES_PER_SECOND = 400
+
+
+@dataclass(slots=True)
+class BoundedOutput:
+    """A file for eliot that drops lines past a rate or a full pipe.
+
+    The number dropped is written with the next line that passes.
+    """
+
+    descriptor: int
+    second: int = 0
+    written: int = 0
+    dropped: int = 0
+
+    def write(self, line: bytes | str) -> int:
+        """Write one line, or drop it."""
+        encoded = line.encode() if isinstance(line, str) else line
+        second = int(time.monotonic())
+        if second != self.second:
+            self.second = second
+            self.written = 0
+        if self.written >= LINES_PER_SECOND:
+            self.dropped += 1
+            return len(encoded)
+        if self.dropped:
+            encoded = b'{"dropped_lines": %d}\n' % self.dropped + encoded
+        try:
+            os.write(self.descriptor, encoded)
+        except OSError:
+            self.dropped += 1
+            return len(encoded)
+        self.dropped = 0
+        self.written += 1
+        return len(encoded)
+
+    def flush(self) -> None:
+        """Do nothing: each line is written at once."""
+
+
+def log_to(descriptor: int) -> None:
+    """Send all log lines to a descriptor, which must not block."""
+    os.set_blocking(descriptor, False)
+    add_destinations(FileDestination(file=BoundedOutput(descriptor)))
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -0,0 +1,144 @@
+"""Sends one request to one endpoint and judges the answer."""
+
+from dataclasses import dataclass
+
+from returns.result import Result, Success
+
+from turmericyard_decisions.repeat_budget import RepeatBudget
+from turmericyard_http.clock import Clock
+from turmericyard_http.errors import HttpError, NotSent
+from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.endpoint_book import Endpoint
+from turmericyard_node.forwarding.fleet import Fleet
+from turmericyard_node.forwarding.job import Job
+from turmericyard_node.forwarding.passage import Passage, open_passage
+from turmericyard_ports.border import Border
+from turmericyard_ports.request import Continuation, Onward, Verdict
+from turmericyard_ports.settings import Bounds
+
+#: Answers of endpoints that count against them.
+FAILING = 500
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The endpoint has not run the request; another may."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """No answer came: the request may have run."""
+
+    detail: str
+
+
+@dataclass(slots=True)
+class Sender:
+    """Sends requests within the budgets that the fleet shares."""
+
+    border: Border
+    bounds: Bounds
+    fleet: Fleet
+    clock: Clock
+    budgets: dict[str, RepeatBudget]
+
+    def budget(self, service: str) -> RepeatBudget:
+        """Return the budget of a service."""
+        found = self.budgets.get(service)
+        if found is None:
+            found = RepeatBudget(
+                self.bounds.retry_ratio, self.bounds.retry_window_seconds
+            )
+            self.budgets[service] = found
+        return found
+
+    def may_repeat(self, job: Job) -> bool:
+        """Return whether the fleet's budget has room for one more send."""
+        allowance = self.bounds.retry_extra / self.fleet.size()
+        return self.budget(job.service.name).allowed(allowance, self.clock())
+
+    async def send(
+        self,
+        job: Job,
+        endpoint: Endpoint,
+        seconds: float,
+        *,
+        backup: Endpoint | None = None,
+        copied: Continuation | None = None,
+    ) -> Passage | NotRun | Lost:
+        """Return the endpoint's answer to this request, or what is known."""
+        now = self.clock()
+        if job.sends:
+            self.budget(job.service.name).spend(now)
+        job.sends += 1
+        endpoint.cold_rate.spend(now)
+        onward = Onward(
+            endpoint.identity,
+            job.seconds_left(now),
+            job.workspace,
+            job.urgency if job.service.engine else None,
+            backup.record.address if backup else None,
+            copied,
+        )
+        opened = await open_passage(
+            endpoint.record.address,
+            job.arrival,
+            self.border.onward_headers(job.arrival, onward),
+            seconds,
+        )
+        judged = await self.judge(job, endpoint, opened)
+        log_event(
+            Event.REQUEST_SENT,
+            attempt=job.attempt,
+            endpoint=endpoint.identity,
+            send=job.sends,
+            seconds=round(self.clock() - now, 4),
+            outcome=outcome_of(judged),
+            backup=backup.identity if backup else None,
+            continues=copied.source if copied else None,
+        )
+        return judged
+
+    async def judge(
+        self, job: Job, endpoint: Endpoint, opened: Result[Passage, HttpError]
+    ) -> Passage | NotRun | Lost:
+        """Return what an opened passage or its failure means."""
+        now = self.clock()
+        if not isinstance(opened, Success):
+            return self.judge_failure(endpoint, opened, now)
+        passage: Passage = opened.unwrap()
+        head = passage.head
+        verdict = self.border.judge_answer(job.arrival, head.status, head.lines)
+        if verdict == Verdict.ANSWERED:
+            failed = head.status >= FAILING
+            endpoint.evidence.observe(failed=failed, now=now)
+            return passage
+        await passage.close()
+        if verdict == Verdict.FOREIGN:
+            endpoint.evidence.observe(failed=True, now=now)
+            return Lost('the answer belongs to another request')
+        if verdict == Verdict.MISDIRECTED:
+            endpoint.evidence.observe_unreachable(now)
+        return NotRun(f'{verdict}, status {head.status}')
+
+    def judge_failure(
+        self, endpoint: Endpoint, opened: Result[Passage, HttpError], now: float
+    ) -> NotRun | Lost:
+        """Return what a failed exchange means."""
+        error = opened.failure()
+        if isinstance(error, NotSent):
+            endpoint.evidence.observe_unreachable(now)
+            return NotRun(error.detail)
+        endpoint.evidence.observe(failed=True, now=now)
+        return Lost(error.detail)
+
+
+def outcome_of(judged: Passage | NotRun | Lost) -> str:
+    """Return a short text for the log."""
+    if isinstance(judged, Passage):
+        return f'status {judged.head.status}'
+    if isinstance(judged, NotRun):
+        return f'not run: {judged.detail}'
+    return f'lost: {judged.detail}'
--- a/packages/turmericyard-node/src/turmericyard_node/lifecycle.py
+++ b/packages/turmericyard-node/src/turmericyard_node/lifecycle.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from turmericyard_http.exchange import Limits
+from turmericyard_http.answer_writer import Limits
 from turmericyard_http.server import HttpServer, open_listener
 from turmericyard_node.application import Application
 from turmericyard_node.callers.api import answer_caller
--- a/packages/turmericyard-node/src/turmericyard_node/main.py
+++ b/packages/turmericyard-node/src/turmericyard_node/main.py
@@ -1,117 +1,38 @@
 """The command `turmericyard-node`."""
 
-import signal
-import socket
-import sys
-from contextlib import suppress
-from functools import partial
+from importlib import import_module
 from pathlib import Path
 
 import click
-import curio
-import eliot
-from returns.result import Success
-
-from turmericyard_node.application import create_application
-from turmericyard_node.lifecycle import add_hooks
-from turmericyard_node.settings import NodeSettings, read_settings
-
-EXIT_SETTINGS = 2
-EXIT_ADDRESS = 3
 
 
 @click.command()
 @click.option(
     '--settings',
     'settings_file',
-    required=True,
     type=click.Path(path_type=Path),
     help='INI file with the settings of this node.',
 )
-def main(settings_file: Path) -> None:
+@click.option(
+    '--adapter',
+    help='Package of a platform adapter; settings then come from the platform.',
+)
+def main(settings_file: Path | None, adapter: str | None) -> None:
     """Run one node until SIGTERM, which drains it.
 
     Peers connect to advertised_peer_address in [node], or to peer_address
-    when it is not given; docs/OPERATORS.md lists all settings.
+    when it is not given; docs/OPERATORS.md lists all settings. With an
+    adapter the node forwards opaque requests on that platform instead.
 
     Exit status: 0 after draining, 2 for wrong settings, 3 when an address
     cannot be bound.
     """
-    checked = read_settings(settings_file)
-    if not isinstance(checked, Success):
-        click.echo(checked.failure().message, err=True)
-        sys.exit(EXIT_SETTINGS)
-    settings = checked.unwrap()
-    eliot.to_file(sys.stdout)
-    try:
-        curio.run(run_node, settings, read_secrets(settings))
-    except OSError as error:
-        click.echo(
-            f'{error}: free the address or change [node] in {settings_file}',
-            err=True,
-        )
-        sys.exit(EXIT_ADDRESS)
-
-
-def read_secrets(settings: NodeSettings) -> tuple[bytes, bytes]:
-    """Return the cluster secret and the operators' token."""
-    found = []
-    for path in (
-        settings.secrets.cluster_file,
-        settings.secrets.operator_token_file,
-    ):
-        try:
-            secret = path.read_bytes().strip()
-        except OSError as error:
-            click.echo(f'[secrets] {path}: {error.strerror}', err=True)
-            sys.exit(EXIT_SETTINGS)
-        if not secret:
-            click.echo(f'[secrets] {path}: the file is empty', err=True)
-            sys.exit(EXIT_SETTINGS)
-        found.append(secret)
-    return found[0], found[1]
-
-
-async def run_node(
-    settings: NodeSettings, secrets: tuple[bytes, bytes]
-) -> None:
-    """Start the node, wait for a signal and drain it."""
-    wakeup = watch_signals()
-    application = create_application(settings, *secrets)
-    add_hooks(application)
-    await application.start()
-    click.echo(ready_line(settings))
-    async with wakeup:
-        await wakeup.recv(1)
-    await application.stop()
-
-
-def ready_line(settings: NodeSettings) -> str:
-    """Return `ready CALLER_PORT OPERATOR_PORT`, for whoever starts nodes."""
-    ports = (
-        address.rpartition(':')[2]
-        for address in (
-            settings.node.caller_address,
-            settings.node.operator_address,
-        )
-    )
-    return ' '.join(('ready', *ports))
-
-
-def watch_signals() -> curio.io.Socket:
-    """Return a socket that becomes readable at SIGTERM or SIGINT."""
-    reader, writer = socket.socketpair()
-    writer.setblocking(False)
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, partial(notify, writer))
-    return curio.io.Socket(reader)
-
-
-def notify(writer: socket.socket, number: int, _frame: object) -> None:
-    """Write the signal's number; later signals change nothing."""
-    with suppress(OSError):
-        writer.send(bytes((number,)))
+    if adapter is not None:
+        import_module('turmericyard_node.forwarding.command').run(adapter)
+    elif settings_file is not None:
+        import_module('turmericyard_node.command').run(settings_file)
+    else:
+        raise click.UsageError('give --settings FILE or --adapter PACKAGE')
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/packages/turmericyard-ports/src/turmericyard_ports/endpoint.py
@@ -0,0 +1,64 @@
+"""Endpoints as the platform publishes them, and the copies of their runs."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class EndpointState(Enum):
+    """Whether an endpoint takes new requests."""
+
+    READY = 'ready'
+    LEAVING = 'leaving'
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointRecord:
+    """One start of an endpoint.
+
+    An endpoint that starts again may keep its identity; `born` (milliseconds
+    since the epoch, None where it is not told) then differs.
+    """
+
+    identity: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: EndpointState
+    cold_seconds: float = 0
+    born: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CopiedRun:
+    """A run whose memory can be continued.
+
+    `source` is the `ip:port` at which `handle` is known, `events` how many
+    events the run has made, None where that is not told.
+    """
+
+    source: str
+    handle: str
+    events: int | None = None
+
+
+class CopyFailure(Enum):
+    """Why a run was not copied."""
+
+    NO_RUN = 'the endpoint runs no such request'
+    UNDER_WAY = 'a copy of the run is being made'
+    NO_ROOM = 'no room at the destination, or it is out of reach'
+    NO_ANSWER = 'the endpoint gave no answer'
+
+
+@dataclass(frozen=True, slots=True)
+class CopyRefused:
+    """A copy that was not made; `kept` is the run that the source stopped."""
+
+    failure: CopyFailure
+    kept: CopiedRun | None = None
+
+    @property
+    def message(self) -> str:
+        """Return what happened and the remedy."""
+        return f'{self.failure.value}: continue elsewhere or try again'
--- /dev/null
+++ b/packages/turmericyard-ports/src/turmericyard_ports/request.py
@@ -0,0 +1,76 @@
+"""An opaque request and what an endpoint answered to it.
+
+Method, target, headers and body pass unchanged; only what the core decides
+on is decoded.
+"""
+
+from dataclasses import dataclass
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Prompt:
+    """Estimates of a generation, in tokens."""
+
+    tokens: int
+    max_output: int
+    #: The caller's guess of the output, None where it gave none.
+    likely_output: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One attempt of a client, as it arrived.
+
+    `headers` are those that go on to the endpoint. `deadline_at` is on the
+    node's clock. `body` is whole.
+    """
+
+    attempt: str
+    method: bytes
+    target: bytes
+    host: str
+    path: str
+    headers: Headers
+    body: bytes
+    arrived_at: float
+    deadline_at: float
+    key: str | None = None
+    prompt: Prompt | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Onward:
+    """What the core adds to a request that it sends to an endpoint."""
+
+    expected_identity: str
+    seconds_left: float
+    workspace: str | None = None
+    urgency: int | None = None
+    #: `ip:port` of the endpoint that keeps a running copy.
+    backup: str | None = None
+    #: The copy from which the run goes on, and the last event delivered.
+    copied: 'Continuation | None' = None
+
+
+@dataclass(frozen=True, slots=True)
+class Continuation:
+    """Where a run goes on: a copy and the id of the last event relayed."""
+
+    source: str
+    handle: str
+    last_event: str
+
+
+class Verdict:
+    """What an endpoint's answer says of its request."""
+
+    #: The endpoint answered this request; status and body are its own.
+    ANSWERED = 'answered'
+    #: The endpoint says that it did not and will not run the request.
+    NOT_RUN = 'not-run'
+    #: Another endpoint has the address now; the request did not run.
+    MISDIRECTED = 'misdirected'
+    #: The answer belongs to no request of this connection.
+    FOREIGN = 'foreign'
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/message_types.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/message_types.py
@@ -34,4 +34,7 @@
     24: messages.PaceNotice,
     30: messages.ExplainRequest,
     31: messages.ExplainReply,
+    40: messages.FleetBeat,
+    41: messages.ViewItemsRequest,
+    42: messages.ViewItemsReply,
 }
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/messages.py
@@ -268,3 +268,45 @@
 
     request: str
     lines: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointUse:
+    """What one node runs at an endpoint; memory and prompts in tokens.
+
+    `lent_tokens` are backups that the endpoint keeps of other runs.
+    """
+
+    identity: str
+    running: int
+    memory_tokens: int
+    unread_tokens: int
+    lent_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class FleetBeat:
+    """Heartbeat of a forwarding node; the reply is the peer's own.
+
+    `revision` is that of its view of the store, `taking` whether clients may
+    be sent to it, `use` what it runs at each endpoint.
+    """
+
+    revision: int
+    taking: bool
+    use: tuple[EndpointUse, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ViewItemsRequest:
+    """Asks for a peer's view of the store when it is newer."""
+
+    after: int
+
+
+@dataclass(frozen=True, slots=True)
+class ViewItemsReply:
+    """All items at a revision; empty with revision 0 when not newer."""
+
+    revision: int
+    items: tuple[tuple[str, bytes, int], ...]
--- /dev/null
+++ b/tools/run_features.py
@@ -0,0 +1,157 @@
+"""Runs feature files side by side and joins their reports and logs.
+
+Each file has a behave process of its own, with ports, report and logs that no
+other one uses. Files that take longest start first. Exit status: 0 when every
+process reported only passed scenarios, 1 otherwise.
+"""
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from itertools import repeat
+from pathlib import Path
+from queue import SimpleQueue
+from typing import Any
+
+ROOT = Path(__file__).parents[1]
+FEATURES = ROOT / 'features'
+FORMATTER = 'support.error_report:ErrorReport'
+#: Features that take longest, in seconds of one run; others count as 0.
+LONG_FEATURES = {
+    'bench/experiments.feature': 250,
+    'node/node_split.feature': 200,
+    'node/calls_at_most_once.feature': 120,
+    'node/streams.feature': 110,
+    'bench/soak.feature': 100,
+    'node/leaving.feature': 90,
+    'node/drain.feature': 90,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """One feature file's run: its parsed report, logs and output."""
+
+    feature: Path
+    report: list[Any]
+    logs: str
+    output: str
+    status: int
+
+
+def find_features(paths: list[Path]) -> list[Path]:
+    """Return the feature files below the paths, the longest first."""
+    found = {
+        feature
+        for path in paths or [FEATURES]
+        for feature in (path.rglob('*.feature') if path.is_dir() else [path])
+    }
+    return sorted(found, key=lambda each: (-expected_seconds(each), each))
+
+
+def expected_seconds(feature: Path) -> int:
+    """Return how long the file is expected to run."""
+    return LONG_FEATURES.get('/'.join(feature.parts[-2:]), 0)
+
+
+def run_feature(
+    feature: Path, free: 'SimpleQueue[int]', workers: int
+) -> Finished:
+    """Run one file with the ports of a free worker."""
+    worker = free.get()
+    try:
+        with tempfile.TemporaryDirectory(prefix='turmericyard-') as folder:
+            return run_worker(feature, Path(folder), f'{worker}/{workers}')
+    finally:
+        free.put(worker)
+
+
+def run_worker(feature: Path, folder: Path, part: str) -> Finished:
+    """Run behave on one file and read what it left."""
+    report = folder / 'report.json'
+    logs = folder / 'logs.txt'
+    finished = subprocess.run(
+        (
+            *(sys.executable, '-m', 'behave', '--no-capture'),
+            *('--format', 'progress', '--outfile', str(folder / 'progress')),
+            *('--format', FORMATTER, '--outfile', str(report), str(feature)),
+        ),
+        cwd=ROOT,
+        env={
+            **os.environ,
+            'TURMERICYARD_PORT_PART': part,
+            'TURMERICYARD_FAILED_LOGS': str(logs),
+        },
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        errors='replace',
+        check=False,
+    )
+    return Finished(
+        feature,
+        read_report(report, feature),
+        logs.read_text(errors='replace') if logs.exists() else '',
+        finished.stdout,
+        finished.returncode,
+    )
+
+
+def read_report(path: Path, feature: Path) -> list[Any]:
+    """Return the report; a file without one counts as one that failed."""
+    try:
+        report = json.loads(path.read_text(encoding='utf-8'))
+    except (OSError, ValueError):
+        report = None
+    if isinstance(report, list) and report:
+        return report
+    missing = {
+        'type': 'scenario',
+        'name': f'{feature.name}: behave left no report',
+        'location': str(feature),
+        'status': 'error',
+        'steps': [],
+    }
+    return [{'elements': [missing]}]
+
+
+def join(results: list[Finished], report: Path, logs: Path) -> None:
+    """Write one report and one file of logs."""
+    ordered = sorted(results, key=lambda each: each.feature)
+    joined = [part for each in ordered for part in each.report]
+    report.write_text(json.dumps(joined), encoding='utf-8')
+    text = ''.join(each.logs for each in ordered)
+    if text:
+        logs.write_text(text, encoding='utf-8')
+
+
+def main() -> int:
+    """Run the features and return the exit status."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--workers', type=int, default=5)
+    parser.add_argument('--report', type=Path, required=True)
+    parser.add_argument('--logs', type=Path, required=True)
+    parser.add_argument('features', type=Path, nargs='*')
+    args = parser.parse_args()
+    features = find_features([path.resolve() for path in args.features])
+    free: SimpleQueue[int] = SimpleQueue()
+    for worker in range(args.workers):
+        free.put(worker)
+    with ThreadPoolExecutor(args.workers) as pool:
+        results = list(
+            pool.map(run_feature, features, repeat(free), repeat(args.workers))
+        )
+    for finished in results:
+        print(finished.output, end='')
+    join(results, args.report, args.logs)
+    return int(any(each.status for each in results))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
