Test forwarding between stand-ins of the platform; room for copies by what is held

Change in the core: a copy of a leaving run needs room for what it holds now, not for its likely end; a run's forecast counts half of its expected rest; urgency ranks workspaces first, then routes; one log line a placement with what decided it.

--- /dev/null
+++ b/features/forwarding/knowledge.feature
@@ -0,0 +1,50 @@
+Feature: Nodes know the platform, also while its store fails
+
+  Scenario Outline: A node follows the store through its failures
+    Given a world with 2 plain endpoints and 2 nodes
+    When the store is <trouble> for 2 seconds and a route is added after it
+    Then every node serves the new route within 2 seconds
+
+    Examples:
+      | trouble   |
+      | busy      |
+      | reset     |
+      | silent    |
+      | compacted |
+
+  Scenario: A node that the store turns away learns from its peers
+    Given a world with 2 plain endpoints and 2 nodes
+    When the store turns one node away and a key is taken away
+    Then that node refuses the key within 2 seconds
+
+  Scenario: A node that starts in an outage takes the configuration from peers
+    Given a world with 2 plain endpoints and 1 node
+    When the store goes down and another node starts
+    Then that node serves within 3 seconds
+
+  Scenario: A leaving endpoint gets no new requests
+    Given a world with 2 plain endpoints and 2 nodes
+    When an endpoint announces that it leaves
+    Then it gets no request later than 1 second after that
+
+  Scenario: Endpoints whose records lapsed in an outage are kept until it ends
+    Given a world with 2 plain endpoints and 1 node
+    When the records of all endpoints lapse while the store is down
+    Then calls are served during the outage and after the records are back
+
+  Scenario: A closed zone gets no new requests
+    Given a world with 2 plain endpoints and 2 nodes
+    When the zone of all endpoints is closed
+    Then calls are refused with a time to come back within 1 second
+
+  Scenario: Records that cannot be read name no endpoint
+    Given a world with 1 plain endpoints and 1 node
+    When records of other writers appear
+    Then calls go to the one endpoint only
+
+  Scenario: A node that ends leaves the directory and cuts no request
+    Given a world with 2 plain endpoints and 2 nodes
+    When a node is told to end while a call runs
+    Then the call was answered 200
+    And the other node no longer names it
+    And it is not ready
--- /dev/null
+++ b/features/forwarding/streams.feature
@@ -0,0 +1,37 @@
+Feature: A stream outlives the endpoint that runs it
+
+  Scenario: A run goes on at a copy when its endpoint leaves
+    Given a world with 3 engines and 1 node
+    When an engine leaves with notice while it streams 60 events
+    Then the client got 60 events, each once and in order
+    And the stream ended whole
+
+  Scenario: A run goes on at its backup when its endpoint dies
+    Given a world with 3 engines that keep backups and 1 node
+    When an engine dies without notice while it streams 60 events
+    Then the client got 60 events, each once and in order
+    And the stream ended whole
+
+  Scenario: A run moves twice
+    Given a world with 3 engines and 1 node
+    When two engines leave one after the other while 90 events are streamed
+    Then the client got 90 events, each once and in order
+    And the stream ended whole
+
+  Scenario: A stream that cannot go on does not look whole
+    Given a world with 1 engines and 1 node
+    When an engine dies without notice while it streams 60 events
+    Then the client got the first events, each once and in order
+    And the stream did not end whole
+    And the generation ran once
+
+  Scenario: A backup at an endpoint that has left is not used
+    Given a world with 3 engines that keep backups and 1 node
+    When the backup of a run leaves and then its engine leaves
+    Then the client got 60 events, each once and in order
+    And no endpoint got a request after it had left for 1.5 seconds
+
+  Scenario: A client that leaves ends its generation
+    Given a world with 2 engines and 1 node
+    When a client closes its connection while its stream runs
+    Then the endpoint's work is cancelled within 0.5 seconds
--- /dev/null
+++ b/features/support/fleet/runner.py
@@ -0,0 +1,163 @@
+"""A runner of the platform: streams, plain answers, copies, and its faults."""
+
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
+
+from turmericyard_http.messages import OpaqueResponse, Request, json_response
+
+SEAL = (b'x-turmericyard-response-seal', b'seal')
+COPY_SECONDS = 0.05
+
+
+@dataclass
+class Made:
+    """A run, or a copy of one; copies are found by handle."""
+
+    attempt: str
+    made: int
+    length: int
+
+
+@dataclass
+class FleetRunner:
+    """`fault` changes the next answers; `arrivals` is the ledger.
+
+    `peers` are all runners by address: copies go between them.
+    """
+
+    identity: str
+    address: str = ''
+    event_seconds: float = 0.02
+    length: int = 20
+    fault: str = ''
+    faults_left: int = 1_000_000
+    peers: dict[str, 'FleetRunner'] = field(default_factory=dict)
+    arrivals: list[dict[str, str]] = field(default_factory=list)
+    ran: list[str] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+    runs: dict[str, Made] = field(default_factory=dict)
+    copies: dict[str, Made] = field(default_factory=dict)
+    ended: bool = False
+    no_room: bool = False
+
+    async def answer(self, request: Request) -> Any:
+        if request.path == '/-/kv-move':
+            return await self.move(json.loads(request.body))
+        if request.path.startswith('/-/kv-handle/'):
+            return json_response(200, {})
+        headers = dict(request.headers)
+        self.arrivals.append(headers)
+        attempt = headers['x-turmericyard-attempt-id']
+        echo = (b'x-turmericyard-attempt-id', attempt.encode())
+        fault = self.take_fault()
+        if headers.get('x-turmericyard-expect-instance') != self.identity:
+            return OpaqueResponse(421, (echo,))
+        if fault == 'full':
+            not_run = (b'x-turmericyard-not-executed', b'1')
+            return OpaqueResponse(503, (echo, not_run))
+        if request.path.startswith('/stream'):
+            return self.stream(headers, attempt, echo, fault)
+        return await self.call(request, attempt, echo, fault)
+
+    def take_fault(self) -> str:
+        if not self.fault or self.faults_left <= 0:
+            return ''
+        self.faults_left -= 1
+        return self.fault
+
+    async def call(
+        self, request: Request, attempt: str, echo: Any, fault: str
+    ) -> OpaqueResponse:
+        self.ran.append(attempt)
+        try:
+            if fault == 'hang':
+                await curio.sleep(1000)
+            await curio.sleep(self.event_seconds)
+        except curio.CancelledError:
+            self.cancelled.append(attempt)
+            raise
+        if fault == 'error':
+            return OpaqueResponse(500, (echo, SEAL), b'failed')
+        if fault == 'unsigned':
+            return OpaqueResponse(200, (echo,), b'forged')
+        if fault == 'foreign':
+            other = (b'x-turmericyard-attempt-id', b'another')
+            return OpaqueResponse(200, (other, SEAL), b'not yours')
+        if fault == 'reset':
+            return OpaqueResponse(200, (echo, SEAL), chunks=cut())
+        body = b'%s %s' % (request.target, request.body)
+        return OpaqueResponse(200, (echo, SEAL), body)
+
+    def stream(
+        self, headers: dict[str, str], attempt: str, echo: Any, fault: str
+    ) -> OpaqueResponse:
+        begin = 0
+        source = headers.get('kv-from')
+        if source is not None:
+            address, _, handle = source.partition('/')
+            held = self.copies.get(handle) or self.kept_at(address, handle)
+            if held is None or held.attempt != attempt:
+                not_run = (b'x-turmericyard-not-executed', b'1')
+                return OpaqueResponse(503, (echo, not_run))
+            begin = int(headers['last-event-id'])
+        run = Made(attempt, begin, self.length)
+        self.runs[attempt] = run
+        self.ran.append(attempt)
+        backup = headers.get('x-turmericyard-kv-backup')
+        if backup is not None:
+            self.peers[backup].copies[attempt] = run
+        kind = (b'content-type', b'text/event-stream')
+        return OpaqueResponse(
+            200, (echo, SEAL, kind), chunks=self.events(run, fault)
+        )
+
+    def kept_at(self, address: str, handle: str) -> Made | None:
+        return self.peers[address].copies.get(handle)
+
+    async def events(self, run: Made, fault: str) -> AsyncIterator[bytes]:
+        try:
+            while run.made < run.length:
+                await curio.sleep(self.event_seconds)
+                if self.ended:
+                    yield b'id: %d\nda' % (run.made + 1)
+                    raise ConnectionAbortedError
+                if self.runs.get(run.attempt) is not run:
+                    raise ConnectionAbortedError
+                run.made += 1
+                yield b'id: %d\ndata: %s-%d\n\n' % (
+                    run.made,
+                    run.attempt.encode(),
+                    run.made,
+                )
+        except curio.CancelledError:
+            self.cancelled.append(run.attempt)
+            raise
+        finally:
+            if self.runs.get(run.attempt) is run:
+                self.runs.pop(run.attempt)
+
+    async def move(self, body: dict[str, Any]) -> Any:
+        run = self.runs.get(body['id'])
+        if run is None:
+            return json_response(404, {})
+        target = self.peers[body['to']]
+        if target.no_room or target.ended:
+            return json_response(503, {})
+        await curio.sleep(COPY_SECONDS)
+        handle = f'h-{body["id"]}'
+        target.copies[handle] = Made(run.attempt, run.made, run.length)
+        if body['last']:
+            self.runs.pop(body['id'])
+        return json_response(
+            200, {'handle': handle, 'createRevision': run.made}
+        )
+
+
+async def cut() -> AsyncIterator[bytes]:
+    """Send a part of the body and break off."""
+    yield b'a part'
+    raise ConnectionAbortedError
--- /dev/null
+++ b/features/support/fleet/world.py
@@ -0,0 +1,256 @@
+"""Nodes, store, runners and clients in one loop of one scenario."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
+import h11
+
+from support.fleet.runner import FleetRunner
+from support.fleet.store import FleetStore
+from turmericyard_bench.launch import LOOPBACK, free_port
+from turmericyard_fleet import create_border
+from turmericyard_http.answer_writer import Limits
+from turmericyard_http.connection import ClientConnection, connect
+from turmericyard_http.server import HttpServer, open_listener
+from turmericyard_node.forwarding.application import ForwardingApplication
+from turmericyard_node.forwarding.assembly import create_forwarding
+from turmericyard_ports.settings import Bounds, ForwardingSettings
+
+HOST = 'shop.example'
+KEY = 'key-1'
+READY_SECONDS = 6.0
+LIMIT_SECONDS = 40
+
+
+def manifest(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with a call, a once-only and a stream route."""
+    common = {'host': HOST, 'timeoutMs': 3000, 'targetLatencyMs': 400}
+    return {
+        'version': version,
+        'routes': [
+            {
+                **common,
+                'name': 'reads',
+                'pathPrefix': '/read/',
+                'kind': 'idempotent',
+                'service': 'plain',
+                'attempts': 2,
+            },
+            {
+                **common,
+                'name': 'writes',
+                'pathPrefix': '/write/',
+                'kind': 'non_idempotent',
+                'service': 'plain',
+                'attempts': 1,
+            },
+            {
+                **common,
+                'name': 'streams',
+                'pathPrefix': '/stream/',
+                'kind': 'streaming',
+                'service': 'engines',
+                'attempts': 1,
+                'timeoutMs': 8000,
+            },
+        ],
+        'services': [
+            {'name': 'plain'},
+            {
+                'name': 'engines',
+                'engine': {
+                    'slots': 8,
+                    'kvCapacityTokens': 40_000,
+                    'stride': 4,
+                    'moves': True,
+                    'backups': changes.pop('backups', False),
+                },
+            },
+        ],
+        'limits': {},
+        'tenants': [{'name': 'firm', 'apiKeys': [KEY]}],
+        **changes,
+    }
+
+
+@dataclass
+class Answer:
+    """What a client got; `whole` when the answer came to its end."""
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b''
+    whole: bool = False
+    seconds: float = 0
+    error: str = ''
+
+
+@dataclass
+class World:
+    """Everything of a scenario; `nodes` by name."""
+
+    store: FleetStore = field(default_factory=FleetStore)
+    runners: dict[str, FleetRunner] = field(default_factory=dict)
+    nodes: dict[str, ForwardingApplication] = field(default_factory=dict)
+    servers: dict[str, HttpServer] = field(default_factory=dict)
+    tasks: list[Any] = field(default_factory=list)
+    store_address: str = ''
+    by_address: dict[str, FleetRunner] = field(default_factory=dict)
+
+    async def serve(self, name: str, handler: Any) -> str:
+        listener = open_listener(LOOPBACK, free_port())
+        address = f'{LOOPBACK}:{listener.getsockname()[1]}'
+        server = HttpServer(listener, handler, Limits(watch_client=True))
+        self.servers[name] = server
+        self.tasks.append(await curio.spawn(server.run, daemon=True))
+        return address
+
+    async def open(self) -> None:
+        self.store_address = await self.serve('store', self.store.answer)
+        self.store.put('op/config', manifest())
+
+    async def add_runner(self, identity: str, service: str) -> FleetRunner:
+        runner = FleetRunner(identity, peers=self.by_address)
+        runner.address = await self.serve(identity, runner.answer)
+        self.by_address[runner.address] = runner
+        self.runners[identity] = runner
+        self.register(identity, service)
+        return runner
+
+    def register(
+        self, identity: str, service: str, state: str = 'ready', **more: Any
+    ) -> None:
+        record = {
+            'service': service,
+            'address': self.runners[identity].address,
+            'zone': 'a',
+            'slots': 8,
+            'state': state,
+            'coldRemainingMs': 0,
+            'seq': self.store.revision,
+            **more,
+        }
+        self.store.put(f'servers/{identity}', record)
+
+    async def end_runner(self, identity: str) -> None:
+        """End a runner as a reclaim does: its connections break."""
+        self.runners[identity].ended = True
+        await curio.sleep(0.1)
+        await self.servers.pop(identity).close()
+
+    async def add_node(self, name: str, zone: str = 'a') -> Any:
+        addresses = [f'{LOOPBACK}:{free_port()}' for _ in range(5)]
+        settings = ForwardingSettings(
+            name,
+            zone,
+            'r',
+            *addresses,
+            tuple(node.settings.control for node in self.nodes.values()),
+            self.store_address,
+            150_000_000,
+            Bounds(grace_seconds=4),
+        )
+        node = create_forwarding(settings, create_border())
+        self.nodes[name] = node
+        await node.start()
+        return node
+
+    async def until(
+        self, holds: Callable[[], bool], seconds: float = READY_SECONDS
+    ) -> None:
+        async with curio.timeout_after(seconds):
+            while not holds():
+                await curio.sleep(0.01)
+
+    async def ready(self) -> None:
+        """Wait until each node knows the configuration, runners and nodes."""
+        for node in self.nodes.values():
+            await self.until(
+                lambda node=node: (
+                    node.is_ready()
+                    and len(node.knowledge.book.endpoints) >= len(self.runners)
+                    and len(node.fleet.live_peers()) == len(self.nodes) - 1
+                )
+            )
+
+    async def ask(
+        self,
+        node: str,
+        target: str,
+        attempt: str,
+        *,
+        method: str = 'POST',
+        deadline_ms: int = 5000,
+        body: bytes = b'body',
+        **headers: str,
+    ) -> Answer:
+        """Send one request to a node and read its answer to the end."""
+        address = self.nodes[node].settings.callers
+        lines = {
+            'host': HOST,
+            'x-turmericyard-attempt-id': attempt,
+            'x-turmericyard-deadline-ms': str(deadline_ms),
+            'authorization': f'Bearer {KEY}',
+            'content-length': str(len(body)),
+            **{key.replace('_', '-'): text for key, text in headers.items()},
+        }
+        started = await curio.clock()
+        answer = Answer()
+        connection = await connect(address)
+        try:
+            async with curio.timeout_after(LIMIT_SECONDS):
+                await connection.send_lines(
+                    method.encode(),
+                    target.encode(),
+                    tuple(
+                        (key.encode(), text.encode())
+                        for key, text in lines.items()
+                    ),
+                    body,
+                )
+                await read_answer(connection, answer)
+        except (OSError, EOFError, h11.ProtocolError) as error:
+            answer.error = repr(error)
+        finally:
+            answer.seconds = await curio.clock() - started
+            await connection.close()
+        return answer
+
+    async def close(self) -> None:
+        for node in self.nodes.values():
+            for server in node.servers:
+                await server.close()
+            await node.tasks.cancel_all()
+            await node.fleet.mesh.close()
+        for server in self.servers.values():
+            await server.close()
+        for task in self.tasks:
+            await task.cancel()
+
+
+async def read_answer(connection: ClientConnection, answer: Answer) -> None:
+    """Read head and body into the answer as they come."""
+    answer.status, lines = await connection.read_lines()
+    answer.headers = {name.decode(): text.decode() for name, text in lines}
+    piece = await connection.read_data()
+    while piece:
+        answer.body += piece
+        piece = await connection.read_data()
+    answer.whole = True
+
+
+def play(scenario: Callable[[World], Awaitable[None]]) -> None:
+    """Run a scenario's coroutine with a new world."""
+
+    async def run() -> None:
+        world = World()
+        await world.open()
+        try:
+            async with curio.timeout_after(LIMIT_SECONDS):
+                await scenario(world)
+        finally:
+            await world.close()
+
+    curio.run(run)
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/seats.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/seats.py
@@ -20,34 +20,47 @@
 ZONE_SECONDS = 0.02
 #: Share of an engine's memory that forecasts may fill.
 MEMORY_SHARE = 0.92
+#: Share of the memory that may be taken after a copy of a leaving run.
+COPY_SHARE = 1.0
 #: Share up to which memory may be lent to backups of other engines' runs.
-BACKUP_SHARE = 0.75
+BACKUP_SHARE = 0.7
 
 
 @dataclass(frozen=True, slots=True)
 class Seat:
     """One endpoint as a place for a request.
 
-    `memory_tokens` is the forecast of what its runs will hold, `capacity` 0
-    where it has no such limit, `unread_tokens` the prompts not yet read.
+    `held_tokens` is the memory that runs and copies take now,
+    `memory_tokens` the forecast when its runs are at their likely ends,
+    `capacity` 0 where it has no such limit, `unread_tokens` the prompts not
+    yet read.
     """
 
     identity: str
     zone: str
     slots: int
     running: int
+    held_tokens: float = 0
     memory_tokens: float = 0
     capacity: float = 0
     unread_tokens: float = 0
 
     def has_room(self, tokens: float, share: float = MEMORY_SHARE) -> bool:
-        """Return whether a run of so many tokens fits."""
+        """Return whether a run fits that will hold so many tokens."""
         if self.running >= self.slots:
             return False
         if not self.capacity:
             return True
         return self.memory_tokens + tokens <= share * self.capacity
 
+    def has_room_now(self, tokens: float, share: float) -> bool:
+        """Return whether a copy of so many tokens fits now."""
+        if self.running >= self.slots:
+            return False
+        if not self.capacity:
+            return True
+        return self.held_tokens + tokens <= share * self.capacity
+
     def delay(self, zone: str) -> float:
         """Return the expected delay of a new run, in seconds."""
         memory = self.memory_tokens / self.capacity if self.capacity else 0
@@ -98,14 +111,14 @@
     A copy between zones takes twice as long and is paid for, so that the
     zone goes first.
     """
-    fitting = [seat for seat in seats if seat.has_room(tokens, share)]
+    fitting = [seat for seat in seats if seat.has_room_now(tokens, share)]
     if not fitting:
         return None
     return min(
         fitting,
         key=lambda seat: (
             seat.zone != zone,
-            seat.memory_tokens / seat.capacity if seat.capacity else 0,
+            seat.held_tokens / seat.capacity if seat.capacity else 0,
             random.random(),
         ),
     )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/intake.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/intake.py
@@ -112,15 +112,12 @@
         service = table.configuration.services.get(chosen.service)
         if service is None:
             return self.refuse(UNAVAILABLE, 'the service is not known')
-        priority = route.priority
-        if workspace is not None and workspace.priority is not None:
-            priority = workspace.priority
         return Job(
             arrival,
             route,
             service,
             workspace.name if workspace else None,
-            priority,
+            (workspace.priority or 0 if workspace else 0, route.priority),
             min(
                 arrival.deadline_at,
                 arrival.arrived_at + route.timeout_seconds,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
@@ -9,6 +9,8 @@
 LIKELY_SHARE = 0.4
 #: Urgencies that endpoints tell apart; 0 is served first.
 LAST_URGENCY = 9
+#: Ranks of routes within one rank of workspaces.
+ROUTE_RANKS = 3
 
 
 @dataclass(slots=True, eq=False)
@@ -19,7 +21,8 @@
     route: Route
     service: Service
     workspace: str | None
-    priority: int
+    #: Ranks of the workspace, where it has one, and of the route.
+    priority: tuple[int, int]
     deadline_at: float
     #: Identities of endpoints that this request does not go to again.
     excluded: set[str] = field(default_factory=set)
@@ -34,7 +37,8 @@
     @property
     def urgency(self) -> int:
         """Return the urgency towards endpoints."""
-        return min(max(self.priority, 0), LAST_URGENCY)
+        workspace, route = self.priority
+        return min(max(ROUTE_RANKS * workspace + route, 0), LAST_URGENCY)
 
     def seconds_left(self, now: float) -> float:
         """Return the time until the request is given up."""
@@ -49,7 +53,11 @@
             return min(prompt.likely_output, prompt.max_output)
         return LIKELY_SHARE * prompt.max_output
 
+    def prompt_tokens(self) -> float:
+        """Return the tokens of the prompt, 0 for plain calls."""
+        prompt = self.arrival.prompt
+        return prompt.tokens if prompt else 0
+
     def memory_tokens(self) -> float:
         """Return the forecast of the memory that a generation takes."""
-        prompt = self.arrival.prompt
-        return (prompt.tokens if prompt else 0) + self.likely_output()
+        return self.prompt_tokens() + self.likely_output()
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/load_book.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/load_book.py
@@ -10,6 +10,7 @@
     """One request at one endpoint; tokens are 0 for plain calls."""
 
     identity: str
+    held_tokens: float = 0
     memory_tokens: float = 0
     unread_tokens: float = 0
     lent: bool = False
@@ -20,6 +21,7 @@
     """The sum of some uses of one endpoint."""
 
     running: int = 0
+    held_tokens: float = 0
     memory_tokens: float = 0
     unread_tokens: float = 0
     lent_tokens: float = 0
@@ -27,15 +29,17 @@
     def add(self, use: Use) -> None:
         """Add a use of this node."""
         if use.lent:
-            self.lent_tokens += use.memory_tokens
+            self.lent_tokens += use.held_tokens
             return
         self.running += 1
+        self.held_tokens += use.held_tokens
         self.memory_tokens += use.memory_tokens
         self.unread_tokens += use.unread_tokens
 
     def add_peer(self, use: EndpointUse) -> None:
         """Add what a peer told."""
         self.running += use.running
+        self.held_tokens += use.held_tokens
         self.memory_tokens += use.memory_tokens
         self.unread_tokens += use.unread_tokens
         self.lent_tokens += use.lent_tokens
@@ -89,6 +93,7 @@
             EndpointUse(
                 identity,
                 total.running,
+                int(total.held_tokens),
                 int(total.memory_tokens),
                 int(total.unread_tokens),
                 int(total.lent_tokens),
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
@@ -11,7 +11,7 @@
 from returns.result import Success
 
 from turmericyard_decisions.run_moves import order_copies
-from turmericyard_decisions.seats import MEMORY_SHARE
+from turmericyard_decisions.seats import COPY_SHARE
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.endpoint_book import Endpoint
@@ -79,7 +79,10 @@
         """Copy a run, or bring its copy up to date."""
         source = run.place
         holder = self.choose_holder(run)
-        if run.ended or holder is None:
+        if run.ended:
+            return
+        if holder is None:
+            self.log(run, None, 0, 'no room elsewhere')
             return
         use = self.loads.begin(Use(holder.identity, run.tokens(), lent=True))
         started_at = self.clock()
@@ -90,15 +93,8 @@
             last=False,
         )
         done = isinstance(copied, Success)
-        log_event(
-            Event.RUN_COPIED if done else Event.RUN_NOT_COPIED,
-            attempt=run.job.attempt,
-            source=source.identity,
-            holder=holder.identity,
-            events=run.splice.delivered,
-            seconds=round(self.clock() - started_at, 3),
-            detail='' if done else copied.failure().message,
-        )
+        detail = '' if done else copied.failure().message
+        self.log(run, holder, self.clock() - started_at, detail)
         if not done or run.ended or run.place is not source:
             self.loads.end(use)
             return
@@ -107,11 +103,25 @@
         run.copy = RunCopy(copied.unwrap(), holder, use)
         run.copied_at = started_at
 
+    def log(
+        self, run: Run, holder: Endpoint | None, seconds: float, detail: str
+    ) -> None:
+        """Write how a copy went; an empty detail is a success."""
+        log_event(
+            Event.RUN_NOT_COPIED if detail else Event.RUN_COPIED,
+            attempt=run.job.attempt,
+            source=run.place.identity,
+            holder=holder.identity if holder else None,
+            tokens=int(run.tokens()),
+            seconds=round(seconds, 3),
+            detail=detail,
+        )
+
     def choose_holder(self, run: Run) -> Endpoint | None:
         """Return the endpoint for a run's copy, the same one as before."""
         now = self.clock()
         if run.copy is not None and run.copy.holder.usable(now):
             return run.copy.holder
         return self.placer.place_copy(
-            run.job, run.tokens(), run.place, MEMORY_SHARE
+            run.job, run.tokens(), run.place, COPY_SHARE
         )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
@@ -12,6 +12,7 @@
     choose_service_seat,
 )
 from turmericyard_http.clock import Clock
+from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.endpoint_book import Endpoint
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.knowledge import Knowledge
@@ -41,7 +42,20 @@
         else:
             tokens = job.memory_tokens()
             chosen = choose_seat(seats, tokens, self.zone, self.random)
-        return candidates[chosen.identity] if chosen else None
+        if chosen is None:
+            return None
+        log_event(
+            Event.REQUEST_PLACED,
+            attempt=job.attempt,
+            endpoint=chosen.identity,
+            candidates=len(seats),
+            running=chosen.running,
+            held=int(chosen.held_tokens),
+            memory=int(chosen.memory_tokens),
+            unread=int(chosen.unread_tokens),
+            prompt=int(job.prompt_tokens()),
+        )
+        return candidates[chosen.identity]
 
     def place_copy(
         self,
@@ -112,6 +126,7 @@
         endpoint.record.zone,
         endpoint.record.slots,
         total.running,
+        total.held_tokens + total.lent_tokens,
         total.memory_tokens + total.lent_tokens,
         capacity,
         total.unread_tokens,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
@@ -10,6 +10,11 @@
 from turmericyard_ports.endpoint import CopiedRun
 
 
+#: Share of a run's expected rest that counts as memory that it will take: the
+#: runs of an endpoint are not all at their ends at the same time.
+HELD_SHARE = 0.5
+
+
 @dataclass(frozen=True, slots=True)
 class RunCopy:
     """A copy of a run and the endpoint that holds it."""
@@ -74,10 +79,11 @@
         """Tell the load book what the run holds now."""
         if self.splice.delivered:
             self.use.unread_tokens = 0
-        forecast = self.tokens() + self.remaining_tokens()
-        self.use.memory_tokens = forecast
+        held = self.tokens()
+        self.use.held_tokens = held
+        self.use.memory_tokens = held + HELD_SHARE * self.remaining_tokens()
         if self.backup_use is not None:
-            self.backup_use.memory_tokens = forecast
+            self.backup_use.held_tokens = held
 
 
 @dataclass(slots=True)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -68,13 +68,9 @@
 
     async def begin(self, job: Job, place: Endpoint) -> Answer | NotRun:
         """Send the request to an endpoint and open its stream."""
-        prompt = job.arrival.prompt
+        prompt = job.prompt_tokens()
         use = self.loads.begin(
-            Use(
-                place.identity,
-                job.memory_tokens(),
-                prompt.tokens if prompt else 0,
-            )
+            Use(place.identity, prompt, job.memory_tokens(), prompt)
         )
         backup = self.choose_backup(job, place)
         backup_use = self.lend(job, backup)
@@ -285,7 +281,7 @@
         if backup is None:
             return None
         return self.loads.begin(
-            Use(backup.identity, job.memory_tokens(), lent=True)
+            Use(backup.identity, job.prompt_tokens(), lent=True)
         )
 
     def seconds_left(self, job: Job) -> float:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
@@ -32,7 +32,7 @@
 class Waiter:
     """A waiting request; `place` is set when `found` is."""
 
-    priority: int
+    priority: tuple[int, int]
     number: int
     job: Job = field(compare=False)
     found: curio.Event = field(compare=False, default_factory=curio.Event)
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/messages.py
@@ -274,11 +274,14 @@
 class EndpointUse:
     """What one node runs at an endpoint; memory and prompts in tokens.
 
-    `lent_tokens` are backups that the endpoint keeps of other runs.
+    `held_tokens` are taken now, `memory_tokens` when the runs are at their
+    likely ends. `lent_tokens` are copies that the endpoint keeps of runs at
+    others.
     """
 
     identity: str
     running: int
+    held_tokens: int
     memory_tokens: int
     unread_tokens: int
     lent_tokens: int
