Notice a silent store within two seconds

On the platform endpoints renew their records all the time, so that watches return sooner anyway and the number of calls stays.

--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
@@ -13,8 +13,9 @@
 
 #: The view has every item: one watch tells of all changes.
 WHOLE = ''
-#: Longest wait of one watch, in seconds.
-WATCH_SECONDS = 5.0
+#: Longest wait of one watch, in seconds: news behind a connection that has gone
+#: silent are missed for this time and the store client's margin.
+WATCH_SECONDS = 1.0
 #: Pause between watches, in seconds: endpoints renew their records all the
 #: time, and each answered watch is a paid call.
 PAUSE_SECONDS = 0.15
