Build into target without touching files that are the same

The clean-up of broken answers also wrote the traces of caught errors to standard error.

Change: the build copies only files that differ; a watched answer returns the connection's error instead of letting its task crash.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -1,6 +1,7 @@
 """Puts the node, its packages and their byte code under target/deps."""
 
 import compileall
+import filecmp
 import shutil
 import subprocess
 import sys
@@ -62,12 +63,31 @@
 
 
 def copy(source: Path) -> None:
-    """Copy one package, replacing an earlier copy."""
+    """Make the installed package the same as its source.
+
+    Files that are the same stay untouched: another build may serve processes
+    that start from them now.
+    """
     target = TARGET / source.name
-    shutil.rmtree(target, ignore_errors=True)
-    shutil.copytree(
-        source, target, ignore=shutil.ignore_patterns('__pycache__')
-    )
+    wanted = relative_files(source)
+    for stale in relative_files(target) - wanted:
+        (target / stale).unlink()
+    for path in wanted:
+        copied = target / path
+        copied.parent.mkdir(parents=True, exist_ok=True)
+        if not copied.exists() or not filecmp.cmp(
+            source / path, copied, shallow=False
+        ):
+            shutil.copy(source / path, copied)
+
+
+def relative_files(folder: Path) -> set[Path]:
+    """Return the files below a folder, without byte code."""
+    return {
+        path.relative_to(folder)
+        for path in folder.rglob('*')
+        if path.is_file() and '__pycache__' not in path.parts
+    }
 
 
 if __name__ == '__main__':
--- a/features/support/fleet/store.py
+++ b/features/support/fleet/store.py
@@ -149,7 +149,8 @@
             events = [
                 self.event(revision, key, value)
                 for revision, key, value in self.history
-                if revision > after and key.startswith(query.get('pathPrefix', ''))
+                if revision > after
+                and key.startswith(query.get('pathPrefix', ''))
             ]
             if events or left <= 0:
                 return json_response(
--- a/packages/turmericyard-http/src/turmericyard_http/exchange.py
+++ b/packages/turmericyard-http/src/turmericyard_http/exchange.py
@@ -119,16 +119,31 @@
         await self.writer.send_answer(await handler(request))
 
     async def answer_watched(self, handler: Handler, request: Request) -> None:
-        """Answer, and cancel the handler when the client goes away."""
-        answering = await curio.spawn(self.answer, handler, request)
+        """Answer, and cancel the handler when the client goes away.
+
+        Raises ConnectionAbortedError when the answer was broken off.
+        """
+        answering = await curio.spawn(self.answer_caught, handler, request)
         watching = await curio.spawn(self.cancel_when_gone, answering)
         try:
-            await answering.join()
+            broken = await answering.join()
         except curio.TaskError as error:
             raise ConnectionAbortedError from error.__cause__
         finally:
             await watching.cancel()
             await answering.cancel()
+        if broken is not None:
+            raise ConnectionAbortedError from broken
+
+    async def answer_caught(
+        self, handler: Handler, request: Request
+    ) -> Exception | None:
+        """Answer; return how the connection failed meanwhile, if it did."""
+        try:
+            await self.answer(handler, request)
+        except (OSError, curio.TaskTimeout, h11.ProtocolError) as error:
+            return error
+        return None
 
     async def cancel_when_gone(self, answering: Any) -> None:
         """Read ahead until the client ends its connection."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
@@ -9,7 +9,6 @@
 from turmericyard_node.forwarding.passage import Passage
 from turmericyard_ports.endpoint import CopiedRun
 
-
 #: Share of a run's expected rest that counts as memory that it will take: the
 #: runs of an endpoint are not all at their ends at the same time.
 HELD_SHARE = 0.5
