Place generations through the first hub

Cause: nodes that choose by sums that are 0.2 to 0.5 s old choose the same endpoint together; on 84 nodes reports had their first event after 1.3 s at the median, and memory overflowed (164,000 tokens read for nothing).

Change: a node asks the first hub, which sees every placement and counts each at once; without an answer in 0.12 s it chooses by itself.

--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -17,6 +17,7 @@
 from turmericyard_node.forwarding.knowledge import Knowledge, create_knowledge
 from turmericyard_node.forwarding.load_book import LoadBook
 from turmericyard_node.forwarding.moves import Mover
+from turmericyard_node.forwarding.placement import Placement
 from turmericyard_node.forwarding.placer import Placer
 from turmericyard_node.forwarding.runs import RunBook
 from turmericyard_node.forwarding.sending import Sender
@@ -54,7 +55,8 @@
         boot_seconds,
         fleet.size,
     )
-    room = WaitingRoom(placer, boot_seconds)
+    fleet.place_for = placer.place_for
+    room = WaitingRoom(Placement(fleet, placer, boot_seconds), boot_seconds)
     intake, mover = create_forwarders(border, settings, fleet, room)
     application = ForwardingApplication(
         settings,
@@ -141,7 +143,7 @@
     sender = Sender(border, settings.bounds, fleet, boot_seconds, {})
     book = RunBook(loads)
     streams = StreamForwarder(
-        border, sender, room, room.placer, loads, book, boot_seconds
+        border, sender, room, room.placement.placer, loads, book, boot_seconds
     )
     calls = CallForwarder(border, sender, room, loads, boot_seconds)
     intake = Intake(
@@ -152,7 +154,9 @@
         streams,
         boot_seconds,
     )
-    return intake, Mover(border, room.placer, loads, book, boot_seconds)
+    return intake, Mover(
+        border, room.placement.placer, loads, book, boot_seconds
+    )
 
 
 def is_not_ready() -> bool:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -15,6 +15,7 @@
 from turmericyard_http.clock import Clock
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.contact import Contact
+from turmericyard_node.forwarding.endpoint_book import Endpoint
 from turmericyard_node.forwarding.hub import MILLISECONDS, Hub
 from turmericyard_node.forwarding.hub_choice import (
     STALE_SECONDS,
@@ -29,6 +30,8 @@
 from turmericyard_protocol.messages import (
     FleetBeat,
     HubUpdate,
+    PlaceReply,
+    PlaceRequest,
     StoreItem,
     ViewItemsReply,
     ViewItemsRequest,
@@ -51,6 +54,8 @@
     hubs: HubChoice
     clock: Clock
     is_ready: Callable[[], bool]
+    #: Chooses places for other nodes.
+    place_for: Callable[[PlaceRequest], Endpoint | None] | None = None
 
     @property
     def own(self) -> Member:
@@ -139,7 +144,7 @@
         """Go by the own sums while this node is the first hub."""
         if self.hubs.first() == self.own.node:
             self.loads.fleet = self.hub.add_up()
-            self.loads.tell()
+            self.loads.note_told()
 
     async def observe(self, node: str, update: HubUpdate) -> None:
         """Take over what a hub tells; after a gap, ask for everything."""
@@ -153,7 +158,7 @@
         if update.members:
             told.members = dict(update.members)
         if node == self.hubs.first():
-            self.observe_sums(update)
+            self.loads.observe(update)
         if update.trouble:
             self.knowledge.book.observe_trouble(told.at)
         if told.store_age < STALE_SECONDS:
@@ -161,13 +166,6 @@
         self.observe_items(update)
         await self.knowledge.flush()
 
-    def observe_sums(self, update: HubUpdate) -> None:
-        """Take over the sums over all nodes."""
-        if update.whole:
-            self.loads.fleet = {}
-        for use in update.use:
-            self.loads.fleet[use.identity] = use
-
     def observe_items(self, update: HubUpdate) -> None:
         """Take over items of the store."""
         view = self.knowledge.view
@@ -211,6 +209,20 @@
         if sender in self.hubs.news:
             await self.observe(sender, payload)
 
+    @answer.register
+    async def answer_place(
+        self, payload: PlaceRequest, _sender: str
+    ) -> PlaceReply:
+        """Return the place of another node's generation."""
+        self.loads.fleet = self.hub.add_up()
+        self.loads.note_told()
+        place = self.place_for(payload) if self.place_for else None
+        if place is None:
+            return PlaceReply('')
+        self.hub.grant(place.identity, payload)
+        place.cold_rate.spend(self.clock())
+        return PlaceReply(place.identity)
+
     @answer.register
     async def answer_view(
         self, payload: ViewItemsRequest, sender: str
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -4,6 +4,7 @@
 a node that missed one asks for everything with its next beat.
 """
 
+from collections import deque
 from dataclasses import dataclass, field
 
 import curio
@@ -24,6 +25,7 @@
     EndpointUse,
     FleetBeat,
     HubUpdate,
+    PlaceRequest,
     StoreItem,
 )
 
@@ -34,6 +36,9 @@
 #: How long an update may take to be handed over, in seconds.
 SEND_SECONDS = 0.3
 MILLISECONDS = 1000
+#: How long a place that was given counts here: the node tells of the run as
+#: soon as it has the place.
+GRANT_SECONDS = 0.25
 #: A store that never answered, in seconds.
 LONGEST_AGE_SECONDS = 3600.0
 
@@ -55,6 +60,8 @@
     sums: dict[str, EndpointUse] = field(default_factory=dict)
     members: tuple[tuple[str, bool], ...] = ()
     items: list[StoreItem] = field(default_factory=list)
+    #: Places given, until the nodes' beats tell of them.
+    granted: deque[tuple[float, EndpointUse]] = field(default_factory=deque)
     news: curio.Event = field(default_factory=curio.Event)
 
     def observe(self, change: Change) -> None:
@@ -168,12 +175,28 @@
         self.sums = now
         return (*changed, *gone)
 
+    def grant(self, identity: str, need: PlaceRequest) -> None:
+        """Count a place that was given to another node."""
+        use = EndpointUse(
+            identity, 1, need.prompt_tokens, need.tokens, need.prompt_tokens, 0
+        )
+        self.granted.append((self.clock() + GRANT_SECONDS, use))
+
+    def expire_grants(self) -> None:
+        """Count places no more that the nodes tell of by now."""
+        now = self.clock()
+        while self.granted and self.granted[0][0] < now:
+            self.granted.popleft()
+
     def add_up(self) -> dict[str, EndpointUse]:
         """Return the sums over all nodes, this one included."""
+        self.expire_grants()
         totals: dict[str, Total] = {}
         for _, beat in self.heard.values():
             for use in beat.use:
                 totals.setdefault(use.identity, Total()).add_peer(use)
+        for _, granted in self.granted:
+            totals.setdefault(granted.identity, Total()).add_peer(granted)
         for identity, own in self.loads.own_totals().items():
             if own.memory_tokens or own.lent_tokens:
                 totals.setdefault(identity, Total()).merge(own)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/load_book.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/load_book.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from turmericyard_protocol.messages import EndpointUse
+from turmericyard_protocol.messages import EndpointUse, HubUpdate
 
 #: Tokens are told to other nodes in steps of this size.
 TOKEN_STEP = 128
@@ -93,6 +93,13 @@
         if use is not None:
             self.own.discard(use)
 
+    def observe(self, update: HubUpdate) -> None:
+        """Take over a hub's sums over all nodes."""
+        if update.whole:
+            self.fleet = {}
+        for use in update.use:
+            self.fleet[use.identity] = use
+
     def own_totals(self) -> dict[str, Total]:
         """Return what this node runs at each endpoint."""
         totals: dict[str, Total] = {}
@@ -113,13 +120,17 @@
             totals.setdefault(identity, Total()).merge(others)
         return totals
 
-    def tell(self) -> tuple[EndpointUse, ...]:
-        """Return the own totals for the hubs."""
+    def note_told(self) -> None:
+        """Remember the own totals that the sums contain from now on."""
         self.told = {
             identity: total
             for identity, total in self.own_totals().items()
             if total.memory_tokens or total.lent_tokens
         }
+
+    def tell(self) -> tuple[EndpointUse, ...]:
+        """Return the own totals for the hubs."""
+        self.note_told()
         return tuple(
             in_use(identity, total) for identity, total in self.told.items()
         )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
@@ -19,6 +19,12 @@
 from turmericyard_node.forwarding.load_book import LoadBook, Total
 from turmericyard_ports.configuration import Service
 from turmericyard_ports.settings import Bounds
+from turmericyard_protocol.messages import PlaceRequest
+
+#: Parts of a cold endpoint's bound: for what a hub places, and for what all
+#: nodes place by themselves.
+HUB_SHARE = 0.6
+LOCAL_SHARE = 0.4
 
 
 @dataclass(slots=True)
@@ -35,27 +41,48 @@
 
     def place(self, job: Job) -> Endpoint | None:
         """Return the endpoint for a request, None when none has room."""
-        candidates = self.candidates(job)
-        seats = self.seats(job.service, candidates)
-        if job.service.engine is None:
-            chosen = choose_service_seat(seats, self.zone, self.random)
-        else:
-            tokens = job.memory_tokens()
-            chosen = choose_seat(seats, tokens, self.zone, self.random)
+        need = need_of(job, self.zone)
+        candidates = self.candidates(need, LOCAL_SHARE / self.fleet_size())
+        chosen = self.choose(job.service, need, candidates)
         if chosen is None:
             return None
+        self.log(job, chosen, len(candidates))
+        return candidates[chosen.identity]
+
+    def place_for(self, need: PlaceRequest) -> Endpoint | None:
+        """Return the endpoint for another node's generation, as a hub."""
+        service = self.knowledge.service(need.service)
+        if service is None:
+            return None
+        candidates = self.candidates(need, HUB_SHARE)
+        chosen = self.choose(service, need, candidates)
+        return candidates[chosen.identity] if chosen else None
+
+    def choose(
+        self,
+        service: Service,
+        need: PlaceRequest,
+        candidates: dict[str, Endpoint],
+    ) -> Seat | None:
+        """Return the best seat among the candidates."""
+        seats = self.seats(service, candidates)
+        if service.engine is None:
+            return choose_service_seat(seats, need.zone, self.random)
+        return choose_seat(seats, need.tokens, need.zone, self.random)
+
+    def log(self, job: Job, chosen: Seat, candidates: int) -> None:
+        """Write what decided a placement made here."""
         log_event(
             Event.REQUEST_PLACED,
             attempt=job.attempt,
             endpoint=chosen.identity,
-            candidates=len(seats),
+            candidates=candidates,
             running=chosen.running,
             held=int(chosen.held_tokens),
             memory=int(chosen.memory_tokens),
             unread=int(chosen.unread_tokens),
             prompt=int(job.prompt_tokens()),
         )
-        return candidates[chosen.identity]
 
     def place_copy(
         self,
@@ -76,17 +103,19 @@
         )
         return candidates[chosen.identity] if chosen else None
 
-    def candidates(self, job: Job) -> dict[str, Endpoint]:
-        """Return the endpoints that may get the request now.
+    def candidates(
+        self, need: PlaceRequest, cold_share: float
+    ) -> dict[str, Endpoint]:
+        """Return the endpoints that may get a request now.
 
         Those that failed lately are left out unless all of them did.
         """
         now = self.clock()
         found = {
             endpoint.identity: endpoint
-            for endpoint in self.knowledge.endpoints(job.service.name)
-            if endpoint.identity not in job.excluded
-            and self.cold_allows(endpoint, job.service, now)
+            for endpoint in self.knowledge.endpoints(need.service)
+            if endpoint.identity not in need.avoided
+            and self.cold_allows(endpoint, cold_share, now)
         }
         sound = {
             identity: endpoint
@@ -95,17 +124,18 @@
         }
         return sound or found
 
-    def cold_allows(
-        self, endpoint: Endpoint, service: Service, now: float
-    ) -> bool:
+    def cold_allows(self, endpoint: Endpoint, share: float, now: float) -> bool:
         """Return whether a cold endpoint bears one more request now."""
-        if now >= endpoint.cold_until or not service.cold_per_second:
+        service = self.knowledge.service(endpoint.record.service)
+        if now >= endpoint.cold_until or service is None:
+            return True
+        if not service.cold_per_second:
             return True
         bound = (
             service.cold_per_second * self.bounds.cold_overage
             + self.bounds.cold_slack
         )
-        return endpoint.cold_rate.allowed(bound / self.fleet_size(), now)
+        return endpoint.cold_rate.allowed(bound * share, now)
 
     def seats(
         self, service: Service, candidates: dict[str, Endpoint]
@@ -137,3 +167,14 @@
         capacity,
         total.unread_tokens,
     )
+
+
+def need_of(job: Job, zone: str) -> PlaceRequest:
+    """Return what a request needs, as a hub is asked for it."""
+    return PlaceRequest(
+        job.service.name,
+        zone,
+        int(job.prompt_tokens()),
+        int(job.memory_tokens()),
+        tuple(job.excluded),
+    )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
@@ -10,10 +10,10 @@
 from turmericyard_http.clock import Clock
 from turmericyard_node.forwarding.endpoint_book import Endpoint
 from turmericyard_node.forwarding.job import Job
-from turmericyard_node.forwarding.placer import Placer
+from turmericyard_node.forwarding.placement import Placement
 
 #: Time between two looks for room, in seconds.
-LOOK_SECONDS = 0.03
+LOOK_SECONDS = 0.05
 #: Share of the latency target for which a request waits for room.
 PATIENCE_SHARE = 0.7
 #: Places taken in the last seconds tell how fast room becomes free.
@@ -51,7 +51,7 @@
 class WaitingRoom:
     """Places requests at once, or when room becomes free."""
 
-    placer: Placer
+    placement: Placement
     clock: Clock
     waiters: list[Waiter] = field(default_factory=list)
     numbers: 'count[int]' = field(default_factory=count)
@@ -61,7 +61,7 @@
     async def enter(self, job: Job) -> Endpoint | NoRoom:
         """Return the place of a request, or why it has none."""
         if not self.has_rivals(job):
-            place = self.placer.place(job)
+            place = await self.placement.place(job)
             if place is not None:
                 self.note(job)
                 return place
@@ -123,7 +123,9 @@
         wait = min(
             max(expected, SHORTEST_RETURN_SECONDS), LONGEST_RETURN_SECONDS
         )
-        return NoRoom(detail, wait * self.placer.random.uniform(*RETURN_SPREAD))
+        return NoRoom(
+            detail, wait * self.placement.placer.random.uniform(*RETURN_SPREAD)
+        )
 
     def note(self, job: Job) -> None:
         """Note that a request was placed."""
@@ -144,7 +146,7 @@
 
     async def look(self, waiter: Waiter) -> None:
         """Give a waiting request its place when there is one."""
-        place = self.placer.place(waiter.job)
+        place = await self.placement.place(waiter.job)
         if place is None or waiter not in self.waiters:
             return
         self.note(waiter.job)
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/message_types.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/message_types.py
@@ -38,4 +38,6 @@
     41: messages.ViewItemsRequest,
     42: messages.ViewItemsReply,
     43: messages.HubUpdate,
+    44: messages.PlaceRequest,
+    45: messages.PlaceReply,
 }
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/messages.py
@@ -344,3 +344,24 @@
 
     revision: int
     items: tuple[StoreItem, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceRequest:
+    """Asks a hub for the place of a generation; `tokens` is its forecast.
+
+    `avoided` are endpoints that the asker knows to fail.
+    """
+
+    service: str
+    zone: str
+    prompt_tokens: int
+    tokens: int
+    avoided: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceReply:
+    """The endpoint of a generation, empty when none has room."""
+
+    endpoint: str
