--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/command.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/command.py
@@ -1,5 +1,6 @@
 """Runs a node that forwards requests on a platform."""
 
+import gc
 import signal
 import sys
 from importlib import import_module
@@ -28,6 +29,7 @@
         sys.exit(EXIT_SETTINGS)
     log_to(sys.stdout.fileno())
     application = create_forwarding(read.unwrap(), border)
+    keep_start_objects()
     try:
         curio.run(serve, application)
     except OSError as error:
@@ -35,6 +37,16 @@
         sys.exit(EXIT_ADDRESS)
 
 
+def keep_start_objects() -> None:
+    """Leave what exists at the start out of garbage collection.
+
+    A full collection over all imported modules stops the loop for longer than
+    a stream may pause on a small machine.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 async def serve(application: ForwardingApplication) -> None:
     """Start, follow signals and end at the first stop signal."""
     wakeup = watch_signals((*STOP_SIGNALS, signal.SIGHUP))
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -168,7 +168,7 @@
         """Return the sums that changed and remember all."""
         now = self.add_up()
         gone = [
-            EndpointUse(identity, 0, 0, 0, 0, 0)
+            EndpointUse(identity, 0, 0, 0, 0, 0, 0)
             for identity in self.sums.keys() - now.keys()
         ]
         changed = [use for key, use in now.items() if self.sums.get(key) != use]
@@ -178,7 +178,13 @@
     def grant(self, identity: str, need: PlaceRequest) -> None:
         """Count a place that was given to another node."""
         use = EndpointUse(
-            identity, 1, need.prompt_tokens, need.tokens, need.prompt_tokens, 0
+            identity,
+            1,
+            1,
+            need.prompt_tokens,
+            need.tokens,
+            need.prompt_tokens,
+            0,
         )
         self.granted.append((self.clock() + GRANT_SECONDS, use))
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
@@ -44,6 +44,7 @@
     begun_at: float = 0
     event_at: float = 0
     longest_gap: float = 0
+    gap_at: float = 0
 
     def tokens(self) -> float:
         """Return the tokens that the run holds in memory now."""
@@ -69,8 +70,10 @@
 
     def note_events(self, now: float) -> None:
         """Note that events arrived; keeps the longest gap between them."""
-        if self.event_at:
-            self.longest_gap = max(self.longest_gap, now - self.event_at)
+        gap = now - self.event_at
+        if self.event_at and gap > self.longest_gap:
+            self.longest_gap = gap
+            self.gap_at = now
         self.event_at = now
         self.refresh_use()
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -168,6 +168,7 @@
             moves=run.moves,
             first_seconds=round(run.begun_at - run.job.arrival.arrived_at, 3),
             longest_gap=round(run.longest_gap, 3),
+            gap_at=round(run.gap_at, 3),
             seconds=round(self.clock() - started_at, 3),
         )
         await run.passage.close()
