Test the decisions of forwarding; log when a loop stood still

Hypothesis: any cut of any stream gives each event once and in order; any history of five nodes keeps the fleet's repeats and a cold endpoint's rate within their bounds.

loop:stalled (107) has the lateness and the processor time of the process, so that a late event can be told from a machine without processor time.

--- /dev/null
+++ b/features/decisions/seats.feature
@@ -0,0 +1,48 @@
+Feature: Generations go where they wait least and fit
+
+  Scenario: A burst of long prompts is spread
+    Given 6 engines of 34000 tokens
+    When 12 prompts of 3000 tokens arrive at once
+    Then each engine reads 2 of them
+
+  Scenario: An engine whose memory is full gets nothing
+    Given 2 engines of 34000 tokens
+    And engine 1 holds 33000 tokens
+    When 3 prompts of 3000 tokens arrive at once
+    Then engine 1 reads 0 of them
+
+  Scenario: Without room nothing is placed
+    Given 1 engines of 10000 tokens
+    When 4 prompts of 3000 tokens arrive at once
+    Then 1 of them have no place
+
+  Scenario Outline: An engine reads as many prompts as pauses allow
+    Then with pauses of <gap> seconds and <tokens> tokens an event it reads <most>
+
+    Examples:
+      | gap  | tokens | most |
+      | 0.18 | 4      | 4    |
+      | 0.18 | 1      | 21   |
+      | 0.04 | 4      | 1    |
+      | 0    | 4      | 1000 |
+
+  Scenario: A copy goes to an engine of the same zone with the most free memory
+    Given 4 engines of 34000 tokens in the zones a, a, b, b
+    And engine 1 holds 20000 tokens
+    When a run of 4000 tokens in zone a is copied
+    Then the copy goes to engine 2
+
+  Scenario: A copy has room by what is held now
+    Given 1 engines of 34000 tokens in the zones a
+    And engine 1 holds 29000 tokens and forecasts 40000
+    When a run of 4000 tokens in zone a is copied
+    Then the copy goes to engine 1
+
+  Scenario: Shorter copies are made first
+    Then runs of 5000, 2000 and 4000 tokens are copied in the order 2000, 4000, 5000
+
+  Scenario: An endpoint that fails is set aside and tried again
+    Given an endpoint whose last 3 answers failed
+    Then it is set aside, and tried again within 8 seconds
+    When 6 good answers come
+    Then it is not set aside
--- /dev/null
+++ b/features/steps/decisions_forwarding_steps.py
@@ -0,0 +1,262 @@
+"""Steps for the decisions of forwarding."""
+
+from random import Random
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as for_any
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from turmericyard_decisions.event_splice import EventMissing, EventSplice
+from turmericyard_decisions.outlier import Evidence
+from turmericyard_decisions.repeat_budget import ColdRate, RepeatBudget
+from turmericyard_decisions.run_moves import order_copies
+from turmericyard_decisions.seats import (
+    COPY_SHARE,
+    UNBOUNDED_READING,
+    Seat,
+    choose_copy_seat,
+    choose_seat,
+    most_reading,
+)
+
+EXAMPLES = 200
+NODES = 5
+
+
+def event(number: int) -> bytes:
+    return b'id: %d\ndata: piece %d\n\n' % (number, number)
+
+
+def stream(first: int, last: int) -> bytes:
+    return b''.join(event(number) for number in range(first, last + 1))
+
+
+@then('however streams are cut and continued, events come once and in order')
+def step_any_cut(context: Context) -> None:
+    @settings(max_examples=EXAMPLES, deadline=None, database=None)
+    @for_any(
+        st.integers(1, 30),
+        st.lists(st.integers(0, 1200), max_size=4),
+        st.integers(1, 40),
+    )
+    def check(length: int, cuts: list[int], piece: int) -> None:
+        splice = EventSplice()
+        passed = b''
+        for cut in [*cuts, None]:
+            begin = int(splice.last or 0)
+            data = stream(max(1, begin), length)[:cut]
+            for start in range(0, len(data), piece):
+                passed += splice.feed(data[start : start + piece])
+            if cut is not None:
+                splice.restart()
+        passed += splice.finish()
+        assert passed == stream(1, length), passed
+
+    check()
+
+
+@given('the events {first:d} to {last:d} and a torn event {torn:d}')
+def step_first(context: Context, first: int, last: int, torn: int) -> None:
+    context.splice = EventSplice()
+    context.passed = context.splice.feed(stream(first, last) + event(torn)[:7])
+    context.splice.restart()
+    context.missing = None
+
+
+@when('the generation goes on with the events {first:d} to {last:d}')
+def step_on(context: Context, first: int, last: int) -> None:
+    try:
+        context.passed += context.splice.feed(stream(first, last))
+    except EventMissing as error:
+        context.missing = error
+
+
+@then('events {first:d} to {last:d} were passed on whole')
+def step_passed(context: Context, first: int, last: int) -> None:
+    assert context.passed == stream(first, last), context.passed
+
+
+@then(
+    'an event is reported as missing and {first:d} to {last:d} were passed on'
+)
+def step_missing(context: Context, first: int, last: int) -> None:
+    assert context.missing is not None
+    assert context.passed == stream(first, last)
+
+
+HISTORY = st.lists(
+    st.tuples(st.floats(0, 40), st.integers(0, NODES - 1), st.booleans()),
+    max_size=150,
+)
+
+
+@then('any history of 5 nodes keeps repeats within ratio and allowance')
+def step_budget(context: Context) -> None:
+    @settings(max_examples=EXAMPLES, deadline=None, database=None)
+    @for_any(HISTORY)
+    def check(history: list[tuple[float, int, bool]]) -> None:
+        budgets = [RepeatBudget(0.2, 10) for _ in range(NODES)]
+        requests: list[float] = []
+        repeats: list[float] = []
+        for now, node, is_repeat in sorted(history):
+            if not is_repeat:
+                budgets[node].observe_request(now)
+                requests.append(now)
+            elif budgets[node].allowed(10 / NODES, now):
+                budgets[node].spend(now)
+                repeats.append(now)
+            seen = [each for each in requests if each >= now - 10]
+            spent = [each for each in repeats if each >= now - 10]
+            assert len(spent) <= 0.2 * len(seen) + 10 + 1e-9
+
+    check()
+
+
+@then("any history of 5 nodes keeps a cold endpoint's bound each second")
+def step_cold(context: Context) -> None:
+    @settings(max_examples=EXAMPLES, deadline=None, database=None)
+    @for_any(HISTORY)
+    def check(history: list[tuple[float, int, bool]]) -> None:
+        rates = [ColdRate() for _ in range(NODES)]
+        sent: list[float] = []
+        for now, node, _ in sorted(history):
+            if rates[node].allowed(10 / NODES, now):
+                rates[node].spend(now)
+                sent.append(now)
+            assert len([each for each in sent if each > now - 1]) <= 10
+
+    check()
+
+
+@given('{count:d} engines of {capacity:d} tokens')
+def step_engines(context: Context, count: int, capacity: int) -> None:
+    context.capacity = capacity
+    context.seats = {
+        str(number): {'zone': 'a', 'held': 0, 'memory': 0, 'reading': 0}
+        for number in range(1, count + 1)
+    }
+    context.unplaced = 0
+
+
+@given('{count:d} engines of {capacity:d} tokens in the zones {zones}')
+def step_zones(context: Context, count: int, capacity: int, zones: str) -> None:
+    step_engines(context, count, capacity)
+    for seat, zone in zip(
+        context.seats.values(), zones.split(', '), strict=True
+    ):
+        seat['zone'] = zone
+
+
+@given('engine {number} holds {tokens:d} tokens')
+def step_holds(context: Context, number: str, tokens: int) -> None:
+    context.seats[number].update(held=tokens, memory=tokens)
+
+
+@given('engine {number} holds {tokens:d} tokens and forecasts {memory:d}')
+def step_forecast(
+    context: Context, number: str, tokens: int, memory: int
+) -> None:
+    context.seats[number].update(held=tokens, memory=memory)
+
+
+def seats(context: Context) -> list[Seat]:
+    return [
+        Seat(
+            number,
+            seat['zone'],
+            64,
+            seat['reading'],
+            seat['reading'],
+            seat['held'],
+            seat['memory'],
+            context.capacity,
+            seat['reading'] * 3000,
+        )
+        for number, seat in context.seats.items()
+    ]
+
+
+@when('{count:d} prompts of {tokens:d} tokens arrive at once')
+def step_arrive(context: Context, count: int, tokens: int) -> None:
+    random = Random(7)
+    for _ in range(count):
+        chosen = choose_seat(
+            seats(context), tokens, 'a', random, UNBOUNDED_READING
+        )
+        if chosen is None:
+            context.unplaced += 1
+            continue
+        seat = context.seats[chosen.identity]
+        seat['reading'] += 1
+        seat['held'] += tokens
+        seat['memory'] += tokens
+
+
+@then('each engine reads {count:d} of them')
+def step_each(context: Context, count: int) -> None:
+    reading = [seat['reading'] for seat in context.seats.values()]
+    assert set(reading) == {count}, reading
+
+
+@then('engine {number} reads {count:d} of them')
+def step_reads(context: Context, number: str, count: int) -> None:
+    assert context.seats[number]['reading'] == count
+
+
+@then('{count:d} of them have no place')
+def step_unplaced(context: Context, count: int) -> None:
+    assert context.unplaced == count, context.unplaced
+
+
+@then(
+    'with pauses of {gap:g} seconds and {tokens:d} tokens an event'
+    ' it reads {most:d}'
+)
+def step_most(context: Context, gap: float, tokens: int, most: int) -> None:
+    assert most_reading(gap, tokens) == most, most_reading(gap, tokens)
+
+
+@when('a run of {tokens:d} tokens in zone {zone} is copied')
+def step_copy(context: Context, tokens: int, zone: str) -> None:
+    context.chosen = choose_copy_seat(
+        seats(context), tokens, zone, Random(7), COPY_SHARE
+    )
+
+
+@then('the copy goes to engine {number}')
+def step_copied(context: Context, number: str) -> None:
+    assert context.chosen.identity == number, context.chosen
+
+
+@then(
+    'runs of 5000, 2000 and 4000 tokens are copied in the order'
+    ' 2000, 4000, 5000'
+)
+def step_order(context: Context) -> None:
+    assert order_copies([5000, 2000, 4000], float) == [2000, 4000, 5000]
+
+
+@given('an endpoint whose last {count:d} answers failed')
+def step_failed(context: Context, count: int) -> None:
+    context.evidence = Evidence()
+    for number in range(count):
+        context.evidence.observe(failed=True, now=number / 10)
+
+
+@then('it is set aside, and tried again within {seconds:d} seconds')
+def step_aside(context: Context, seconds: int) -> None:
+    assert context.evidence.aside(0.3)
+    assert not context.evidence.aside(0.3 + seconds)
+
+
+@when('{count:d} good answers come')
+def step_good(context: Context, count: int) -> None:
+    for number in range(count):
+        context.evidence.observe(failed=False, now=9 + number / 10)
+
+
+@then('it is not set aside')
+def step_not_aside(context: Context) -> None:
+    assert not context.evidence.aside(10)
--- a/packages/turmericyard-node/src/turmericyard_node/events.py
+++ b/packages/turmericyard-node/src/turmericyard_node/events.py
@@ -14,6 +14,7 @@
     NODE_STOPPED = (102, 'node:stopped')
     NODE_RELOADED = (105, 'node:reloaded')
     LOGS_DROPPED = (106, 'logs:dropped')
+    LOOP_STALLED = (107, 'loop:stalled')
     NODE_ISOLATED = (103, 'node:isolated')
     NODE_REJOINED = (104, 'node:rejoined')
     CONFIGURATION_ACCEPTED = (200, 'configuration:accepted')
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
@@ -21,6 +21,7 @@
 from turmericyard_node.forwarding.intake import Intake
 from turmericyard_node.forwarding.knowledge import Knowledge
 from turmericyard_node.forwarding.moves import Mover
+from turmericyard_node.forwarding.stalls import StallWatch
 from turmericyard_node.forwarding.waiting import WaitingRoom
 from turmericyard_ports.border import Border
 from turmericyard_ports.configuration import ClientLimits
@@ -60,6 +61,7 @@
     intake: Intake
     entry: Entry
     mover: Mover
+    stalls: StallWatch
     tasks: BackgroundTasks
     servers: list[HttpServer] = field(default_factory=list)
     departures: deque[Endpoint] = field(default_factory=deque)
@@ -81,6 +83,7 @@
             self.discovery.run_membership,
             self.discovery.run_seeds,
             self.room.run,
+            self.stalls.run,
             self.act_on_news,
         )
         for loop in loops:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -21,6 +21,7 @@
 from turmericyard_node.forwarding.placer import Placer
 from turmericyard_node.forwarding.runs import RunBook
 from turmericyard_node.forwarding.sending import Sender
+from turmericyard_node.forwarding.stalls import StallWatch
 from turmericyard_node.forwarding.streams import StreamForwarder
 from turmericyard_node.forwarding.waiting import WaitingRoom
 from turmericyard_node.members import Member, Membership
@@ -78,6 +79,7 @@
         intake,
         Entry(border, fleet, settings.bounds.address_ttl_seconds),
         mover,
+        StallWatch(boot_seconds),
         BackgroundTasks(),
     )
     fleet.is_ready = application.is_ready
