Rename turmericyard-platform to turmericyard-clients

Cause: the users' platform now has an adapter in platform/; two things of one name read as one. The package has the clients of the store port, the VM list, engines and services of the project's own formats. Names only; features of clients and forwarding: 68 passed.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -17,7 +17,7 @@
     'turmericyard-decisions',
     'turmericyard-protocol',
     'turmericyard-http',
-    'turmericyard-platform',
+    'turmericyard-clients',
     'turmericyard-ports',
     'turmericyard-node',
 )
--- a/features/steps/bench_store_state_steps.py
+++ b/features/steps/bench_store_state_steps.py
@@ -14,7 +14,7 @@
 
 from turmericyard_bench.standins.call_rate import CallKind, CallRate
 from turmericyard_bench.standins.store_state import StoreState
-from turmericyard_platform.store import StoreConflict, WatchCompacted
+from turmericyard_clients.store import StoreConflict, WatchCompacted
 
 KEYS = st.sampled_from(['a/1', 'a/2', 'b/1'])
 
--- a/features/steps/platform_engine_client_steps.py
+++ b/features/steps/clients_engine_client_steps.py
@@ -10,7 +10,7 @@
 from turmericyard_bench.transcript import (
     read_transcript,
 )
-from turmericyard_platform.engine_errors import (
+from turmericyard_clients.engine_errors import (
     GenerationUnknown,
     NotStarted,
     OrderOutdated,
--- a/features/steps/platform_engine_faults_steps.py
+++ b/features/steps/clients_engine_faults_steps.py
@@ -9,7 +9,7 @@
 
 from support.engine_caller import Caller, load, start_many
 from turmericyard_bench.deployment import wait_until
-from turmericyard_platform.engine_errors import OutcomeUnknown
+from turmericyard_clients.engine_errors import OutcomeUnknown
 
 SOON_SECONDS = 30
 
--- a/features/steps/platform_event_parser_steps.py
+++ b/features/steps/clients_event_parser_steps.py
@@ -8,7 +8,7 @@
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 
-from turmericyard_platform.engine_events import (
+from turmericyard_clients.engine_events import (
     Done,
     EngineFailure,
     GenerationStarted,
@@ -16,7 +16,7 @@
     StreamEvent,
     Token,
 )
-from turmericyard_platform.sse import EventParser
+from turmericyard_clients.sse import EventParser
 
 BODY = (
     b'data: {"generation":"g","restart":"r"}\n\n'
--- a/features/steps/platform_service_steps.py
+++ b/features/steps/clients_service_steps.py
@@ -5,13 +5,13 @@
 from behave.runner import Context
 from returns.pipeline import is_successful
 
-from turmericyard_http.client import create_client
-from turmericyard_platform.service import (
+from turmericyard_clients.service import (
     CallMayHaveRun,
     CallNotRun,
     ServiceCall,
     call_service,
 )
+from turmericyard_http.client import create_client
 
 SERVICE = 'turmericyard_bench.standins.service'
 TIMEOUT_SECONDS = 4
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/clients_store_steps.py
@@ -7,8 +7,8 @@
 from behave.runner import Context
 from returns.pipeline import is_successful
 
-from turmericyard_platform.http_store import open_http_store
-from turmericyard_platform.store import (
+from turmericyard_clients.http_store import open_http_store
+from turmericyard_clients.store import (
     StoreAnswerLost,
     StoreConflict,
     StoreRefused,
--- a/features/steps/platform_vm_list_steps.py
+++ b/features/steps/clients_vm_list_steps.py
@@ -7,9 +7,9 @@
 from behave.runner import Context
 from returns.pipeline import is_successful
 
-from turmericyard_platform.http_store import open_http_store
-from turmericyard_platform.store import StoreAnswerLost
-from turmericyard_platform.vm_list import (
+from turmericyard_clients.http_store import open_http_store
+from turmericyard_clients.store import StoreAnswerLost
+from turmericyard_clients.vm_list import (
     VmListUnavailable,
     VmState,
     open_vm_list,
--- a/features/steps/node_endpoint_warmth_steps.py
+++ b/features/steps/node_endpoint_warmth_steps.py
@@ -5,11 +5,11 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from turmericyard_clients.engine_reports import PrefixEvent, PrefixEvents
 from turmericyard_decisions.pace import PaceSample, observe_sample
 from turmericyard_decisions.prefix_index import PrefixIndex
 from turmericyard_node.endpoint_state import create_endpoint_state
 from turmericyard_node.polling import take_cache_events
-from turmericyard_platform.engine_reports import PrefixEvent, PrefixEvents
 from turmericyard_protocol.messages import PermitRelease
 from turmericyard_tables.models import Pool, WorkKind
 
--- a/features/steps/tables_edit_store_steps.py
+++ b/features/steps/tables_edit_store_steps.py
@@ -8,7 +8,7 @@
 from returns.result import Result, Success
 
 from support.examples import parse_example
-from turmericyard_platform.http_store import open_http_store
+from turmericyard_clients.http_store import open_http_store
 from turmericyard_tables.commit import (
     AcceptedEdit,
     RetryPolicy,
--- a/features/support/edit_machine.py
+++ b/features/support/edit_machine.py
@@ -21,7 +21,7 @@
 from returns.result import Result, Success
 
 from support.fake_store import FakeStore, Fault
-from turmericyard_platform.store import Entry, StoreError
+from turmericyard_clients.store import Entry, StoreError
 from turmericyard_tables.commit import AcceptedEdit, RetryPolicy, commit_edit
 from turmericyard_tables.document import (
     CONFIGURATION_KEY,
--- a/features/support/engine_caller.py
+++ b/features/support/engine_caller.py
@@ -4,14 +4,14 @@
 from behave.runner import Context
 
 from turmericyard_bench.transcript import length_word, word_token
-from turmericyard_platform.engine import create_engine_client
-from turmericyard_platform.engine_events import (
+from turmericyard_clients.engine import create_engine_client
+from turmericyard_clients.engine_events import (
     Done,
     Heartbeat,
     StreamBroken,
     Token,
 )
-from turmericyard_platform.engine_reports import EngineLoad, GenerationStart
+from turmericyard_clients.engine_reports import EngineLoad, GenerationStart
 
 MODEL = 'report-model'
 
--- a/features/support/fake_store.py
+++ b/features/support/fake_store.py
@@ -13,7 +13,7 @@
 import curio
 from returns.result import Failure, Result, Success
 
-from turmericyard_platform.store import (
+from turmericyard_clients.store import (
     MAX_VALUE_BYTES,
     Change,
     Entry,
--- a/packages/turmericyard-bench/src/turmericyard_bench/costs/bare_relay.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/costs/bare_relay.py
@@ -16,6 +16,12 @@
 
 from turmericyard_bench.costs.tables import MODEL
 from turmericyard_bench.transcript import text_tokens
+from turmericyard_clients.engine import (
+    GenerationStream,
+    create_engine_client,
+)
+from turmericyard_clients.engine_events import Done, StreamBroken, Token
+from turmericyard_clients.engine_reports import GenerationStart
 from turmericyard_http.answer_writer import Answer
 from turmericyard_http.messages import (
     Request,
@@ -27,12 +33,6 @@
     open_listener,
     serve_http,
 )
-from turmericyard_platform.engine import (
-    GenerationStream,
-    create_engine_client,
-)
-from turmericyard_platform.engine_events import Done, StreamBroken, Token
-from turmericyard_platform.engine_reports import GenerationStart
 
 OK = 200
 UNAVAILABLE = 503
--- a/packages/turmericyard-bench/src/turmericyard_bench/costs/loop_steps.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/costs/loop_steps.py
@@ -22,6 +22,7 @@
     routes_table,
 )
 from turmericyard_bench.launch import LOOPBACK
+from turmericyard_clients.vm_list import HttpVmList, Vm
 from turmericyard_decisions.liveness import FANOUT
 from turmericyard_decisions.view import create_view
 from turmericyard_http.messages import Response
@@ -37,7 +38,6 @@
     PlatformSection,
     SecretsSection,
 )
-from turmericyard_platform.vm_list import HttpVmList, Vm
 from turmericyard_protocol.errors import PeerUnreachable
 from turmericyard_protocol.messages import LentShare, LoanReply, LoanRequest
 from turmericyard_tables.build import build_configuration
--- a/packages/turmericyard-bench/src/turmericyard_bench/standins/store.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/standins/store.py
@@ -19,9 +19,9 @@
 )
 from turmericyard_bench.standins.store_answers import dispatch, result_response
 from turmericyard_bench.standins.store_state import StoreState
+from turmericyard_clients.store import StoreError, WatchBatch
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.messages import Request, Response, json_response
-from turmericyard_platform.store import StoreError, WatchBatch
 
 TOO_MANY_REQUESTS = 429
 RETRY_AFTER = {'retry-after': '1'}
--- a/packages/turmericyard-bench/src/turmericyard_bench/standins/store_answers.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/standins/store_answers.py
@@ -14,8 +14,7 @@
     error_response,
 )
 from turmericyard_bench.standins.store_state import StoreState
-from turmericyard_http.messages import Request, Response, json_response
-from turmericyard_platform.store import (
+from turmericyard_clients.store import (
     Change,
     Snapshot,
     StoreConflict,
@@ -24,6 +23,7 @@
     WatchBatch,
     WatchCompacted,
 )
+from turmericyard_http.messages import Request, Response, json_response
 
 GONE = 410
 PRECONDITION_FAILED = 412
--- a/packages/turmericyard-bench/src/turmericyard_bench/standins/store_state.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/standins/store_state.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
-from turmericyard_platform.store import (
+from turmericyard_clients.store import (
     MAX_VALUE_BYTES,
     Change,
     Entry,
--- a/packages/turmericyard-platform/src/turmericyard_platform/engine.py
+++ b/packages/turmericyard-clients/src/turmericyard_clients/engine.py
@@ -6,16 +6,7 @@
 import orjson
 from returns.result import Failure, Result, Success
 
-from turmericyard_http.client import (
-    ClientStream,
-    Guard,
-    HttpClient,
-    always,
-    create_client,
-)
-from turmericyard_http.errors import HttpError
-from turmericyard_http.messages import Response, quote_segment
-from turmericyard_platform.engine_answers import (
+from turmericyard_clients.engine_answers import (
     OK,
     decode,
     exchange_error,
@@ -24,9 +15,9 @@
     start_error,
     unexpected,
 )
-from turmericyard_platform.engine_errors import EngineError
-from turmericyard_platform.engine_events import StreamBroken, StreamEvent
-from turmericyard_platform.engine_reports import (
+from turmericyard_clients.engine_errors import EngineError
+from turmericyard_clients.engine_events import StreamBroken, StreamEvent
+from turmericyard_clients.engine_reports import (
     LOAD,
     PREFIX_EVENTS,
     EngineLoad,
@@ -34,7 +25,16 @@
     PrefixEvents,
     encode_start,
 )
-from turmericyard_platform.sse import EventParser
+from turmericyard_clients.sse import EventParser
+from turmericyard_http.client import (
+    ClientStream,
+    Guard,
+    HttpClient,
+    always,
+    create_client,
+)
+from turmericyard_http.errors import HttpError
+from turmericyard_http.messages import Response, quote_segment
 
 #: Time limit of calls that answer at once.
 CALL_TIMEOUT_SECONDS = 2.0
--- a/packages/turmericyard-platform/src/turmericyard_platform/engine_answers.py
+++ b/packages/turmericyard-clients/src/turmericyard_clients/engine_answers.py
@@ -6,9 +6,7 @@
 from pydantic import TypeAdapter, ValidationError
 from returns.result import Failure, Result, Success
 
-from turmericyard_http.errors import HttpError, NotSent
-from turmericyard_http.messages import Response
-from turmericyard_platform.engine_errors import (
+from turmericyard_clients.engine_errors import (
     EngineError,
     GenerationUnknown,
     NotStarted,
@@ -16,6 +14,8 @@
     OrderOutdated,
     OutcomeUnknown,
 )
+from turmericyard_http.errors import HttpError, NotSent
+from turmericyard_http.messages import Response
 
 RETRY_AFTER_SECONDS = 1.0
 
--- a/packages/turmericyard-platform/src/turmericyard_platform/http_store.py
+++ b/packages/turmericyard-clients/src/turmericyard_clients/http_store.py
@@ -8,10 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
-from turmericyard_http.client import HttpClient
-from turmericyard_http.errors import HttpError, NotSent
-from turmericyard_http.messages import Response, quote_segment
-from turmericyard_platform.store import (
+from turmericyard_clients.store import (
     Change,
     Entry,
     Snapshot,
@@ -24,6 +21,9 @@
     WatchBatch,
     WatchCompacted,
 )
+from turmericyard_http.client import HttpClient
+from turmericyard_http.errors import HttpError, NotSent
+from turmericyard_http.messages import Response, quote_segment
 
 OK = 200
 NOT_FOUND = 404
--- a/packages/turmericyard-platform/src/turmericyard_platform/sse.py
+++ b/packages/turmericyard-clients/src/turmericyard_clients/sse.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from turmericyard_platform.engine_events import (
+from turmericyard_clients.engine_events import (
     Done,
     EngineFailure,
     GenerationStarted,
--- a/packages/turmericyard-node/src/turmericyard_node/application.py
+++ b/packages/turmericyard-node/src/turmericyard_node/application.py
@@ -5,6 +5,8 @@
 from typing import Any
 from uuid import uuid4
 
+from turmericyard_clients.http_store import open_http_store
+from turmericyard_clients.vm_list import VmList, open_vm_list
 from turmericyard_decisions.quarantine import Verdict
 from turmericyard_http.clock import Clock, boot_seconds, wall_seconds
 from turmericyard_http.tasks import BackgroundTasks
@@ -28,8 +30,6 @@
 from turmericyard_node.settings import NodeSettings, parse_seeds
 from turmericyard_node.trace import TraceBook
 from turmericyard_node.work import Slot, Work
-from turmericyard_platform.http_store import open_http_store
-from turmericyard_platform.vm_list import VmList, open_vm_list
 from turmericyard_protocol.messages import PermitRelease
 
 Hook = Callable[['Application'], Awaitable[None]]
--- a/packages/turmericyard-node/src/turmericyard_node/callers/call.py
+++ b/packages/turmericyard-node/src/turmericyard_node/callers/call.py
@@ -8,6 +8,12 @@
 import orjson
 from returns.result import Failure, Result, Success
 
+from turmericyard_clients.service import (
+    CallNotRun,
+    ServiceAnswer,
+    ServiceCall,
+    call_service,
+)
 from turmericyard_decisions.quarantine import Verdict, request_marks
 from turmericyard_decisions.retry import Attempt, Ran, Retry
 from turmericyard_http.messages import Request, Response
@@ -28,12 +34,6 @@
 from turmericyard_node.callers.matching import deadline_of, match_route
 from turmericyard_node.claims import ClaimGranted
 from turmericyard_node.work import NoSlot, Slot, Work
-from turmericyard_platform.service import (
-    CallNotRun,
-    ServiceAnswer,
-    ServiceCall,
-    call_service,
-)
 from turmericyard_protocol.messages import PermitRelease
 from turmericyard_tables.models import WorkKind
 
--- a/packages/turmericyard-node/src/turmericyard_node/callers/collect.py
+++ b/packages/turmericyard-node/src/turmericyard_node/callers/collect.py
@@ -2,6 +2,7 @@
 
 import orjson
 
+from turmericyard_clients.engine_events import Done
 from turmericyard_http.messages import Response
 from turmericyard_node.callers.answers import (
     Outcome,
@@ -10,7 +11,6 @@
     problem_response,
 )
 from turmericyard_node.callers.relay import Relay
-from turmericyard_platform.engine_events import Done
 
 
 async def collect_answer(relay: Relay, request: str) -> Response:
--- a/packages/turmericyard-node/src/turmericyard_node/callers/relay.py
+++ b/packages/turmericyard-node/src/turmericyard_node/callers/relay.py
@@ -12,24 +12,24 @@
 import orjson
 from returns.result import Success
 
-from turmericyard_decisions.fair_queue import Entry
-from turmericyard_node.callers.answers import Outcome, Problem
-from turmericyard_node.callers.settlement import settle_relay
-from turmericyard_node.deaths import report_lost
-from turmericyard_node.events import Event, log_event
-from turmericyard_node.resume_token import ResumePoint, encode_token
-from turmericyard_platform.engine import GenerationStream
-from turmericyard_platform.engine_errors import (
+from turmericyard_clients.engine import GenerationStream
+from turmericyard_clients.engine_errors import (
     GenerationUnknown,
     OutcomeUnknown,
 )
-from turmericyard_platform.engine_events import (
+from turmericyard_clients.engine_events import (
     Done,
     EngineFailure,
     StreamBroken,
     StreamEvent,
     Token,
 )
+from turmericyard_decisions.fair_queue import Entry
+from turmericyard_node.callers.answers import Outcome, Problem
+from turmericyard_node.callers.settlement import settle_relay
+from turmericyard_node.deaths import report_lost
+from turmericyard_node.events import Event, log_event
+from turmericyard_node.resume_token import ResumePoint, encode_token
 
 if TYPE_CHECKING:
     from turmericyard_node.application import Application
--- a/packages/turmericyard-node/src/turmericyard_node/callers/resume.py
+++ b/packages/turmericyard-node/src/turmericyard_node/callers/resume.py
@@ -5,6 +5,7 @@
 
 from returns.result import Failure, Result, Success
 
+from turmericyard_clients.engine_errors import GenerationUnknown, NotStarted
 from turmericyard_http.messages import Request, Response, StreamResponse
 from turmericyard_node.abandoned import cancel_generation
 from turmericyard_node.callers.answers import (
@@ -20,7 +21,6 @@
 from turmericyard_node.callers.relay_body import open_body
 from turmericyard_node.peers.dispatch import handle_message
 from turmericyard_node.resume_token import ResumePoint, decode_token
-from turmericyard_platform.engine_errors import GenerationUnknown, NotStarted
 from turmericyard_protocol.messages import GenerationTaken
 
 if TYPE_CHECKING:
--- a/packages/turmericyard-node/src/turmericyard_node/callers/settlement.py
+++ b/packages/turmericyard-node/src/turmericyard_node/callers/settlement.py
@@ -2,9 +2,9 @@
 
 from typing import TYPE_CHECKING
 
+from turmericyard_clients.engine_events import Done
 from turmericyard_node.callers.answers import Outcome
 from turmericyard_node.deaths import clear
-from turmericyard_platform.engine_events import Done
 from turmericyard_protocol.messages import PermitRelease
 
 if TYPE_CHECKING:
--- a/packages/turmericyard-node/src/turmericyard_node/callers/start.py
+++ b/packages/turmericyard-node/src/turmericyard_node/callers/start.py
@@ -9,24 +9,13 @@
 import curio
 from returns.result import Failure, Result, Success
 
-from turmericyard_decisions.quarantine import Verdict
-from turmericyard_decisions.retry import Attempt, Ran, Retry
-from turmericyard_node.callers.answers import (
-    Outcome,
-    Problem,
-    not_run,
-    refused,
-)
-from turmericyard_node.deaths import report_lost
-from turmericyard_node.events import Event, log_event
-from turmericyard_node.work import NoSlot, Slot, Work
-from turmericyard_platform.engine import GenerationStream
-from turmericyard_platform.engine_errors import (
+from turmericyard_clients.engine import GenerationStream
+from turmericyard_clients.engine_errors import (
     EngineError,
     NotStarted,
     OutcomeUnknown,
 )
-from turmericyard_platform.engine_events import (
+from turmericyard_clients.engine_events import (
     Done,
     EngineFailure,
     GenerationStarted,
@@ -34,7 +23,18 @@
     StreamEvent,
     Token,
 )
-from turmericyard_platform.engine_reports import GenerationStart
+from turmericyard_clients.engine_reports import GenerationStart
+from turmericyard_decisions.quarantine import Verdict
+from turmericyard_decisions.retry import Attempt, Ran, Retry
+from turmericyard_node.callers.answers import (
+    Outcome,
+    Problem,
+    not_run,
+    refused,
+)
+from turmericyard_node.deaths import report_lost
+from turmericyard_node.events import Event, log_event
+from turmericyard_node.work import NoSlot, Slot, Work
 
 if TYPE_CHECKING:
     from turmericyard_node.application import Application
--- a/packages/turmericyard-node/src/turmericyard_node/claim_partition.py
+++ b/packages/turmericyard-node/src/turmericyard_node/claim_partition.py
@@ -12,6 +12,13 @@
 from pydantic import TypeAdapter, ValidationError
 from returns.result import Failure, Result, Success
 
+from turmericyard_clients.store import (
+    Store,
+    StoreAnswerLost,
+    StoreConflict,
+    StoreError,
+    StoreRefused,
+)
 from turmericyard_decisions.claim import (
     Change,
     Partition,
@@ -20,13 +27,6 @@
     apply_change,
 )
 from turmericyard_http.clock import Clock
-from turmericyard_platform.store import (
-    Store,
-    StoreAnswerLost,
-    StoreConflict,
-    StoreError,
-    StoreRefused,
-)
 
 #: Compare-and-swaps tried for one group of changes.
 MAX_ATTEMPTS = 8
--- a/packages/turmericyard-node/src/turmericyard_node/claims.py
+++ b/packages/turmericyard-node/src/turmericyard_node/claims.py
@@ -10,6 +10,7 @@
 import curio
 from returns.result import Failure, Result, Success
 
+from turmericyard_clients.store import Store, StoreError
 from turmericyard_decisions.claim import (
     Abandon,
     Acquire,
@@ -23,7 +24,6 @@
 )
 from turmericyard_http.clock import Clock
 from turmericyard_node.claim_partition import PartitionCommitter
-from turmericyard_platform.store import Store, StoreError
 
 CLAIMS_PREFIX = 'turmericyard/claims/'
 
--- a/packages/turmericyard-node/src/turmericyard_node/configuration.py
+++ b/packages/turmericyard-node/src/turmericyard_node/configuration.py
@@ -9,16 +9,16 @@
 import curio
 from returns.result import Result, Success
 
-from turmericyard_http.clock import Clock
-from turmericyard_node.clock import Jitter, create_jitter
-from turmericyard_node.contact import Contact
-from turmericyard_node.events import Event, log_event
-from turmericyard_platform.store import (
+from turmericyard_clients.store import (
     Entry,
     Store,
     StoreError,
     WatchCompacted,
 )
+from turmericyard_http.clock import Clock
+from turmericyard_node.clock import Jitter, create_jitter
+from turmericyard_node.contact import Contact
+from turmericyard_node.events import Event, log_event
 from turmericyard_tables.document import CONFIGURATION_KEY, decode_document
 from turmericyard_tables.models import Configuration
 
--- a/packages/turmericyard-node/src/turmericyard_node/endpoint_clients.py
+++ b/packages/turmericyard-node/src/turmericyard_node/endpoint_clients.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from turmericyard_clients.engine import EngineClient, create_engine_client
 from turmericyard_http.client import HttpClient, create_client
-from turmericyard_platform.engine import EngineClient, create_engine_client
 
 
 @dataclass(slots=True)
--- a/packages/turmericyard-node/src/turmericyard_node/endpoint_state.py
+++ b/packages/turmericyard-node/src/turmericyard_node/endpoint_state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 
+from turmericyard_clients.engine_reports import EngineLoad
 from turmericyard_decisions.admission import (
     Deferral,
     EngineLedger,
@@ -14,7 +15,6 @@
 from turmericyard_decisions.memory import Running
 from turmericyard_decisions.warmth import ColdSign, Warmth, create_warmth
 from turmericyard_node.events import Event, log_event
-from turmericyard_platform.engine_reports import EngineLoad
 from turmericyard_protocol.messages import (
     EndpointLoad,
     PermitRelease,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -2,6 +2,7 @@
 
 from uuid import uuid4
 
+from turmericyard_clients.store import Store
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.tasks import BackgroundTasks
 from turmericyard_node.contact import Contact
@@ -27,7 +28,6 @@
 from turmericyard_node.members import Member, Membership
 from turmericyard_node.peers.identity import Identity
 from turmericyard_node.peers.mesh import PeerMesh
-from turmericyard_platform.store import Store
 from turmericyard_ports.border import Border
 from turmericyard_ports.settings import ForwardingSettings
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/discovery.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/discovery.py
@@ -6,10 +6,10 @@
 import orjson
 from returns.result import Success
 
+from turmericyard_clients.store import Change
 from turmericyard_http.client import HttpClient
 from turmericyard_node.forwarding.fleet import Fleet
 from turmericyard_node.members import MEMBERS_PREFIX, Member, decode_records
-from turmericyard_platform.store import Change
 
 SEED_TIMEOUT_SECONDS = 0.5
 SEED_INTERVAL_SECONDS = 1.0
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -12,6 +12,7 @@
 
 import curio
 
+from turmericyard_clients.store import Change, Entry
 from turmericyard_http.clock import Clock
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.contact import Contact
@@ -26,7 +27,6 @@
 from turmericyard_node.forwarding.load_book import LoadBook
 from turmericyard_node.members import Member, Membership
 from turmericyard_node.peers.mesh import PeerMesh
-from turmericyard_platform.store import Change, Entry
 from turmericyard_protocol.messages import (
     FleetBeat,
     HubUpdate,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
@@ -7,10 +7,10 @@
 import curio
 from returns.result import Success
 
+from turmericyard_clients.store import Store, StoreError, WatchCompacted
 from turmericyard_http.clock import Clock
 from turmericyard_node.contact import Contact
 from turmericyard_node.forwarding.knowledge import Knowledge
-from turmericyard_platform.store import Store, StoreError, WatchCompacted
 
 #: The view has every item: one watch tells of all changes.
 WHOLE = ''
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from turmericyard_clients.store import Change
 from turmericyard_http.clock import Clock
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.contact import Contact
@@ -20,7 +21,6 @@
     in_use,
 )
 from turmericyard_node.peers.mesh import PeerMesh
-from turmericyard_platform.store import Change
 from turmericyard_protocol.messages import (
     EndpointUse,
     FleetBeat,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/view.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/view.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from turmericyard_platform.store import Change, Entry
+from turmericyard_clients.store import Change, Entry
 
 Listener = Callable[[Change], None]
 
--- a/packages/turmericyard-node/src/turmericyard_node/members.py
+++ b/packages/turmericyard-node/src/turmericyard_node/members.py
@@ -10,10 +10,10 @@
 from pydantic import TypeAdapter, ValidationError
 from returns.result import Success
 
+from turmericyard_clients.store import Store
 from turmericyard_http.clock import Clock
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.contact import Contact
-from turmericyard_platform.store import Store
 
 MEMBERS_PREFIX = 'turmericyard/members/'
 #: Time between renewals of the own record, in seconds.
--- a/packages/turmericyard-node/src/turmericyard_node/order_terms.py
+++ b/packages/turmericyard-node/src/turmericyard_node/order_terms.py
@@ -9,9 +9,9 @@
 
 from returns.result import Success
 
+from turmericyard_clients.store import Store, StoreAnswerLost
 from turmericyard_decisions.engine_orders import Term
 from turmericyard_http.clock import Clock
-from turmericyard_platform.store import Store, StoreAnswerLost
 
 TERMS_PREFIX = 'turmericyard/orders/'
 LEASE_SECONDS = 8.0
--- a/packages/turmericyard-node/src/turmericyard_node/orders.py
+++ b/packages/turmericyard-node/src/turmericyard_node/orders.py
@@ -10,6 +10,7 @@
 import xxhash
 from returns.result import Success
 
+from turmericyard_clients.engine_errors import OrderOutdated
 from turmericyard_decisions.engine_orders import (
     EngineState,
     Order,
@@ -19,7 +20,6 @@
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.order_terms import OrderTerms
-from turmericyard_platform.engine_errors import OrderOutdated
 from turmericyard_tables.models import (
     Configuration,
     Endpoint,
--- a/packages/turmericyard-node/src/turmericyard_node/permits.py
+++ b/packages/turmericyard-node/src/turmericyard_node/permits.py
@@ -8,6 +8,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
+from turmericyard_clients.engine_reports import EngineLoad
 from turmericyard_decisions.loan import CLOCK_RATE_MARGIN
 from turmericyard_decisions.permit import (
     LoadReport,
@@ -31,7 +32,6 @@
 )
 from turmericyard_node.views import ViewService, create_view_service
 from turmericyard_node.waiting import WaitingService
-from turmericyard_platform.engine_reports import EngineLoad
 from turmericyard_protocol.messages import (
     PermitDenied,
     PermitGrant,
--- a/packages/turmericyard-node/src/turmericyard_node/polling.py
+++ b/packages/turmericyard-node/src/turmericyard_node/polling.py
@@ -5,14 +5,14 @@
 import curio
 from returns.result import Success
 
+from turmericyard_clients.engine_errors import NotStarted
+from turmericyard_clients.engine_reports import EngineLoad, PrefixEvents
+from turmericyard_clients.vm_list import Vm, VmList, VmState
 from turmericyard_decisions.prefix_index import CacheChange, CacheEvent
 from turmericyard_decisions.warmth import ColdSign
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.deaths import declare_death
 from turmericyard_node.endpoint_state import EndpointState
-from turmericyard_platform.engine_errors import NotStarted
-from turmericyard_platform.engine_reports import EngineLoad, PrefixEvents
-from turmericyard_platform.vm_list import Vm, VmList, VmState
 from turmericyard_tables.models import Endpoint, WorkKind
 
 if TYPE_CHECKING:
--- a/packages/turmericyard-node/src/turmericyard_node/views.py
+++ b/packages/turmericyard-node/src/turmericyard_node/views.py
@@ -10,6 +10,8 @@
 
 from returns.result import Success
 
+from turmericyard_clients.store import StoreAnswerLost
+from turmericyard_clients.vm_list import Vm, VmState
 from turmericyard_decisions.loan import Holder, Lender
 from turmericyard_decisions.share import SLOT_COUNT
 from turmericyard_decisions.view import (
@@ -26,8 +28,6 @@
 from turmericyard_node.members import SMALL_FLEET
 from turmericyard_node.peers.dispatch import handle_message
 from turmericyard_node.view_document import decode_view, encode_view
-from turmericyard_platform.store import StoreAnswerLost
-from turmericyard_platform.vm_list import Vm, VmState
 from turmericyard_protocol.messages import ViewReply, ViewRequest
 
 if TYPE_CHECKING:
--- a/packages/turmericyard-operator/src/turmericyard_operator/edits.py
+++ b/packages/turmericyard-operator/src/turmericyard_operator/edits.py
@@ -8,12 +8,12 @@
 import curio
 from returns.result import Success
 
-from turmericyard_operator.exits import ExitStatus, fail
-from turmericyard_operator.session import Session
-from turmericyard_platform.store import (
+from turmericyard_clients.store import (
     Entry,
     StoreError,
 )
+from turmericyard_operator.exits import ExitStatus, fail
+from turmericyard_operator.session import Session
 from turmericyard_tables.commit import AcceptedEdit, commit_edit
 from turmericyard_tables.document import (
     CONFIGURATION_KEY,
--- a/packages/turmericyard-operator/src/turmericyard_operator/session.py
+++ b/packages/turmericyard-operator/src/turmericyard_operator/session.py
@@ -8,10 +8,10 @@
 import orjson
 from returns.result import Success
 
+from turmericyard_clients.http_store import open_http_store
+from turmericyard_clients.store import Store
 from turmericyard_operator.exits import ExitStatus, fail
 from turmericyard_operator.settings import OperatorSettings
-from turmericyard_platform.http_store import open_http_store
-from turmericyard_platform.store import Store
 
 MEMBERS_PREFIX = 'turmericyard/members/'
 JSON = 'json'
--- a/packages/turmericyard-ports/src/turmericyard_ports/__init__.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/__init__.py
@@ -3,5 +3,5 @@
 `configuration` and `endpoint` are the data that the platform publishes,
 `request` is an opaque request and its answer, `settings` is what a process is
 told at its start, and `border` has the protocols that an adapter implements.
-The coordination store has a port of its own: `turmericyard_platform.store`.
+The coordination store has a port of its own: `turmericyard_clients.store`.
 """
--- a/packages/turmericyard-ports/src/turmericyard_ports/border.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/border.py
@@ -5,8 +5,8 @@
 
 from returns.result import Result
 
+from turmericyard_clients.store import Store
 from turmericyard_http.messages import Request, Response
-from turmericyard_platform.store import Store
 from turmericyard_ports.configuration import Configuration
 from turmericyard_ports.endpoint import CopiedRun, CopyRefused, EndpointRecord
 from turmericyard_ports.request import Arrival, Headers, Onward
--- a/packages/turmericyard-tables/src/turmericyard_tables/commit.py
+++ b/packages/turmericyard-tables/src/turmericyard_tables/commit.py
@@ -13,7 +13,7 @@
 
 from returns.result import Failure, Result, Success
 
-from turmericyard_platform.store import (
+from turmericyard_clients.store import (
     Entry,
     Store,
     StoreAnswerLost,
--- a/packages/turmericyard-tables/src/turmericyard_tables/document.py
+++ b/packages/turmericyard-tables/src/turmericyard_tables/document.py
@@ -14,7 +14,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from returns.result import Failure, Result, Success
 
-from turmericyard_platform.store import MAX_VALUE_BYTES
+from turmericyard_clients.store import MAX_VALUE_BYTES
 from turmericyard_tables.build import build_configuration
 from turmericyard_tables.errors import (
     DocumentTooLarge,
