Learn changes that a watch did not tell; send everything only to nodes that missed something

Change: a watch goes on behind the last event that it was told; hubs read all items again every 6 s. A hub sends everything only to a node that is behind the sequence of 0.6 s ago, or to which an update could not be sent. A run continues only where its copy's endpoint may still get it (left less than 1 s ago, zone open).

Test: 'Changes made while watches hear nothing are learnt afterwards' failed 2 of 2 before, passed 2 of 2 after; forwarding features 33 passed.

--- a/features/forwarding/knowledge.feature
+++ b/features/forwarding/knowledge.feature
@@ -12,6 +12,11 @@
       | silent    |
       | compacted |
 
+  Scenario: Changes made while watches hear nothing are learnt afterwards
+    Given a world with 2 plain endpoints and 2 nodes
+    When an endpoint leaves while watches hear nothing for 2 seconds and the history is dropped
+    Then it gets no request later than 1 second after that
+
   Scenario: A node that the store turns away learns from its peers
     Given a world with 2 plain endpoints and 2 nodes
     When the store turns one node away and a key is taken away
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -518,6 +518,26 @@
     run(context, scenario)
 
 
+@when(
+    'an endpoint leaves while watches hear nothing for 2 seconds'
+    ' and the history is dropped'
+)
+def step_deaf(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        world.store.deaf = True
+        world.register('i-0', 'plain', 'draining')
+        await curio.sleep(2)
+        world.store.compact()
+        world.store.deaf = False
+        await curio.sleep(1)
+        before = len(world.runners['i-0'].arrivals)
+        for number in range(12):
+            await world.ask(f'n-{number % 2}', '/read/a', f'at-{number}')
+        context.late = len(world.runners['i-0'].arrivals) - before
+
+    run(context, scenario)
+
+
 @then('it gets no request later than 1 second after that')
 def step_no_late(context: Context) -> None:
     assert context.late == 0
--- a/features/support/fleet/store.py
+++ b/features/support/fleet/store.py
@@ -40,6 +40,8 @@
     leases: dict[int, int] = field(default_factory=dict)
     mode: str = ''
     lose_writes: bool = False
+    #: Watches hear nothing; their empty answers still name the revision.
+    deaf: bool = False
     page_items: int = 500
     calls: list[str] = field(default_factory=list)
 
@@ -151,6 +153,7 @@
                 for revision, key, value in self.history
                 if revision > after
                 and key.startswith(query.get('pathPrefix', ''))
+                and not self.deaf
             ]
             if events or left <= 0:
                 return json_response(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
@@ -1,13 +1,18 @@
 """Keeps the view of the store up to date, from the store or from peers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 
 import curio
 from returns.result import Success
 
-from turmericyard_clients.store import Store, StoreError, WatchCompacted
+from turmericyard_clients.store import (
+    Change,
+    Store,
+    StoreError,
+    WatchCompacted,
+)
 from turmericyard_http.clock import Clock
 from turmericyard_node.contact import Contact
 from turmericyard_node.forwarding.knowledge import Knowledge
@@ -25,6 +30,9 @@
 RETRY_SPREAD = (0.5, 1.0)
 #: The same at a node that only stands in for hubs without news.
 STAND_IN_SECONDS = 1.6
+#: Time after which all items are read again, in seconds: it repairs what a
+#: watch did not tell.
+LIST_SECONDS = 6.0
 #: Time between two looks whether this node must follow the store, in seconds.
 LOOK_SECONDS = 0.25
 
@@ -45,6 +53,7 @@
     is_hub: Callable[[], bool]
     random: Random = field(default_factory=Random)
     loaded: bool = False
+    list_at: float = 0
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -52,6 +61,8 @@
             if self.loaded and not self.is_needed():
                 await curio.sleep(LOOK_SECONDS)
                 continue
+            if self.clock() >= self.list_at:
+                self.loaded = False
             followed = await (self.watch() if self.loaded else self.load())
             await self.knowledge.flush()
             await curio.sleep(self.pause(followed=followed))
@@ -74,6 +85,7 @@
         self.loaded = self.knowledge.view.replace(
             snapshot.revision, snapshot.entries
         )
+        self.list_at = self.clock() + LIST_SECONDS
         return self.loaded
 
     async def watch(self) -> bool:
@@ -85,8 +97,8 @@
         )
         if isinstance(seen, Success):
             self.hear()
-            batch = seen.unwrap()
-            self.knowledge.view.apply(batch.revision, batch.changes)
+            changes = seen.unwrap().changes
+            self.knowledge.view.apply(last_revision(changes), changes)
             return True
         error = seen.failure()
         if isinstance(error, WatchCompacted):
@@ -105,3 +117,12 @@
         """Note a failed call."""
         self.contact.missed_store(error.message)
         self.knowledge.book.observe_trouble(self.clock())
+
+
+def last_revision(changes: Iterable[Change]) -> int:
+    """Return the revision up to which a watch has told, 0 for an empty one.
+
+    The revision of the store is no measure: a watch may hear nothing while
+    changes are made, and going on behind them would miss them for good.
+    """
+    return max((change.revision for change in changes), default=0)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -5,9 +5,11 @@
 """
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from functools import partial
 
 import curio
+from returns.result import Success
 
 from turmericyard_clients.store import Change
 from turmericyard_http.clock import Clock
@@ -31,6 +33,8 @@
 
 #: Time between two updates, in seconds.
 UPDATE_SECONDS = 0.2
+#: Looks, an update's time apart, after which an update has reached its nodes.
+SETTLED_LOOKS = 3
 #: A node counts as live for this time after its last beat, in seconds.
 LIVE_SECONDS = 1.8
 #: How long an update may take to be handed over, in seconds.
@@ -55,6 +59,12 @@
     heard: dict[str, tuple[float, FleetBeat]] = field(default_factory=dict)
     #: Grows with each update; starts above that of any process before.
     sequence: int = 0
+    #: The sequence at the last looks, the oldest first.
+    sequences: deque[int] = field(
+        default_factory=partial(deque, maxlen=SETTLED_LOOKS)
+    )
+    #: Nodes to which an update could not be sent.
+    missed: set[str] = field(default_factory=set)
     #: Revision of the store up to which nodes were told.
     revision: int = 0
     sums: dict[str, EndpointUse] = field(default_factory=dict)
@@ -66,21 +76,28 @@
 
     def observe(self, change: Change) -> None:
         """Keep a change of the store for the next update."""
-        if self.heard:
-            self.items.append(
-                StoreItem(change.key, change.value, change.revision)
-            )
+        self.items.append(StoreItem(change.key, change.value, change.revision))
 
     def take(self, node: str, beat: FleetBeat) -> None:
         """Take in what a node tells."""
         self.heard[node] = (self.clock(), beat)
 
     def answer(self, node: str, beat: FleetBeat) -> HubUpdate:
-        """Return the reply to a beat: all when the node missed something."""
+        """Return the reply to a beat: all when the node missed something.
+
+        Updates of the last moment may still be under way to it.
+        """
         self.take(node, beat)
-        if beat.sequence == self.sequence:
-            return self.update(whole=False, use=(), members=(), items=())
-        return self.whole()
+        missed = node in self.missed or beat.sequence < self.settled()
+        if missed or beat.sequence > self.sequence:
+            self.missed.discard(node)
+            return self.whole()
+        nothing_new = self.update(whole=False, use=(), members=(), items=())
+        return replace(nothing_new, sequence=beat.sequence, revision=0)
+
+    def settled(self) -> int:
+        """Return the sequence that every node must have by now."""
+        return self.sequences[0] if self.sequences else self.sequence
 
     def whole(self) -> HubUpdate:
         """Return everything that the hub knows."""
@@ -124,21 +141,22 @@
     def start(self) -> None:
         """Begin to count updates."""
         self.sequence = int(self.clock() * MILLISECONDS)
+        self.sequences.clear()
 
     async def run(self) -> None:
         """Send updates to the nodes that beat here until cancelled."""
         while True:
             await sleep_to_tick(UPDATE_SECONDS)
+            self.sequences.append(self.sequence)
             self.forget_silent()
-            if self.heard:
-                await self.push()
+            await self.push()
 
     async def run_news(self) -> None:
         """Send changes of the store at once."""
         while True:
             await self.news.wait()
             self.news.clear()
-            if self.heard and self.items:
+            if self.items:
                 await self.push()
 
     async def push(self) -> None:
@@ -160,9 +178,13 @@
         """Send an update; a node that does not take it gets all later."""
         try:
             async with curio.timeout_after(SEND_SECONDS):
-                await self.mesh.send(node, update)
+                sent = await self.mesh.send(node, update)
         except curio.TaskTimeout:
+            self.missed.add(node)
             await self.mesh.drop(node)
+            return
+        if not isinstance(sent, Success):
+            self.missed.add(node)
 
     def changed_sums(self) -> tuple[EndpointUse, ...]:
         """Return the sums that changed and remember all."""
@@ -226,3 +248,4 @@
         for node, (at, _) in tuple(self.heard.items()):
             if at < oldest:
                 self.heard.pop(node)
+                self.missed.discard(node)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/knowledge.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/knowledge.py
@@ -20,6 +20,10 @@
 )
 from turmericyard_ports.endpoint import EndpointRecord
 
+#: How long after its notice an endpoint may still go on with a run, in
+#: seconds; half the time in which it must get nothing more.
+CONTINUE_SECONDS = 1.0
+
 
 @dataclass(slots=True)
 class Knowledge:
@@ -125,6 +129,13 @@
             if endpoint.record.zone not in self.closed_zones
         ]
 
+    def may_continue(self, endpoint: Endpoint) -> bool:
+        """Return whether a run may go on at an endpoint that has its copy."""
+        if endpoint.record.zone in self.closed_zones:
+            return False
+        left_at = endpoint.leaving_since
+        return left_at is None or self.clock() - left_at < CONTINUE_SECONDS
+
     def service(self, name: str) -> Service | None:
         """Return a service of the configuration in force."""
         if self.table is None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/log_output.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/log_output.py
@@ -4,8 +4,11 @@
 import time
 from dataclasses import dataclass
 
+import orjson
 from eliot import FileDestination, add_destinations
 
+from turmericyard_node.events import Event
+
 #: Lines a second that are written; more are dropped and counted.
 LINES_PER_SECOND = 400
 
@@ -33,7 +36,7 @@
             self.dropped += 1
             return len(encoded)
         if self.dropped:
-            encoded = b'{"dropped_lines": %d}\n' % self.dropped + encoded
+            encoded = dropped_line(self.dropped) + encoded
         try:
             os.write(self.descriptor, encoded)
         except OSError:
@@ -47,6 +50,13 @@
         """Do nothing: each line is written at once."""
 
 
+def dropped_line(count: int) -> bytes:
+    """Return the line that tells of dropped ones."""
+    number, name = Event.LOGS_DROPPED.value
+    fields = {'message_type': name, 'event': number, 'count': count}
+    return orjson.dumps(fields, option=orjson.OPT_APPEND_NEWLINE)
+
+
 def log_to(descriptor: int) -> None:
     """Send all log lines to a descriptor, which must not block."""
     os.set_blocking(descriptor, False)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -194,6 +194,8 @@
         if self.seconds_left(run.job) <= 0:
             return False
         for endpoint, copied in self.continuations(run):
+            if not self.placer.knowledge.may_continue(endpoint):
+                continue
             if await self.continue_at(run, endpoint, copied):
                 log_event(
                     Event.STREAM_CONTINUED,
