Let a node tell only of its own failed calls to the store

Change: nodes tell of their own calls only; the store is in trouble when nobody who asks it gets answers; a lapsed record's time begins when that ends.

--- a/features/forwarding/knowledge.feature
+++ b/features/forwarding/knowledge.feature
@@ -37,6 +37,11 @@
     When the records of all endpoints lapse while the store is down
     Then calls are served during the outage and after the records are back
 
+  Scenario: An endpoint that is removed after an outage leaves at once
+    Given a world with 2 plain endpoints and 2 nodes
+    When the store fails for 2 seconds and 3 seconds later a record is removed
+    Then it gets no request later than 1 second after that
+
   Scenario: A closed zone gets no new requests
     Given a world with 2 plain endpoints and 2 nodes
     When the zone of all endpoints is closed
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -538,6 +538,23 @@
     run(context, scenario)
 
 
+@when('the store fails for 2 seconds and 3 seconds later a record is removed')
+def step_removed(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        world.store.mode = 'busy'
+        await curio.sleep(2)
+        world.store.mode = ''
+        await curio.sleep(3)
+        world.store.drop('servers/i-0')
+        await curio.sleep(1)
+        before = len(world.runners['i-0'].arrivals)
+        for number in range(12):
+            await world.ask(f'n-{number % 2}', '/read/a', f'at-{number}')
+        context.late = len(world.runners['i-0'].arrivals) - before
+
+    run(context, scenario)
+
+
 @then('it gets no request later than 1 second after that')
 def step_no_late(context: Context) -> None:
     assert context.late == 0
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -1,5 +1,6 @@
 """Joins the parts of a forwarding node."""
 
+from functools import partial
 from uuid import uuid4
 
 from turmericyard_clients.store import Store
@@ -47,6 +48,7 @@
     knowledge = create_knowledge(border, boot_seconds)
     fleet = create_fleet(settings, store, contact, knowledge)
     discovery = Discovery(fleet, other_seeds(settings))
+    knowledge.book.in_trouble = partial(store_fails, fleet.hubs, knowledge)
     knowledge.listeners.extend((discovery.observe, fleet.hub.observe))
     placer = Placer(
         knowledge,
@@ -161,6 +163,11 @@
     )
 
 
+def store_fails(hubs: HubChoice, knowledge: Knowledge) -> bool:
+    """Return whether the store answers neither this node nor its hubs."""
+    return hubs.in_trouble(failed=knowledge.book.has_failed(boot_seconds()))
+
+
 def is_not_ready() -> bool:
     """Return False until the application has its own answer."""
     return False
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_book.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_book.py
@@ -45,6 +45,11 @@
         return self.gone_at is None or now < self.gone_at
 
 
+def always_sound() -> bool:
+    """Return that the store is not known to be in trouble."""
+    return False
+
+
 LeavingListener = Callable[[Endpoint], None]
 
 
@@ -54,7 +59,10 @@
 
     endpoints: dict[str, Endpoint] = field(default_factory=dict)
     listeners: list[LeavingListener] = field(default_factory=list)
-    trouble_at: float = float('-inf')
+    #: When a call of this node to the store failed last.
+    failed_at: float = float('-inf')
+    #: Whether records may be missing because the store is in trouble.
+    in_trouble: Callable[[], bool] = always_sound
 
     def observe(self, record: EndpointRecord, now: float) -> None:
         """Take over the present record of an endpoint."""
@@ -82,23 +90,28 @@
         known = self.endpoints.get(identity)
         if known is None:
             return
-        if now - self.trouble_at < TROUBLE_SECONDS:
+        if self.in_trouble():
             known.gone_at = now + LAPSE_SECONDS
             return
         self.leave(known, now, 'removed')
         self.endpoints.pop(identity)
 
-    def observe_trouble(self, now: float) -> None:
-        """Note that the store failed; lapsed records wait for its return."""
-        self.trouble_at = now
-        for endpoint in self.endpoints.values():
-            if endpoint.gone_at is not None:
-                endpoint.gone_at = now + LAPSE_SECONDS
+    def has_failed(self, now: float) -> bool:
+        """Return whether the store failed this node lately."""
+        return now - self.failed_at < TROUBLE_SECONDS
 
     def expire(self, now: float) -> None:
-        """Take lapsed records whose time has passed as gone."""
+        """Take lapsed records whose time has passed as gone.
+
+        The time begins when the trouble ends.
+        """
+        troubled = self.in_trouble()
         for identity, endpoint in tuple(self.endpoints.items()):
-            if endpoint.gone_at is not None and endpoint.gone_at <= now:
+            if endpoint.gone_at is None:
+                continue
+            if troubled:
+                endpoint.gone_at = now + LAPSE_SECONDS
+            elif endpoint.gone_at <= now:
                 self.leave(endpoint, now, 'lapsed')
                 self.endpoints.pop(identity)
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -151,6 +151,7 @@
         told = self.hubs.news.setdefault(node, HubNews())
         told.at = self.clock()
         told.store_age = update.store_age_ms / MILLISECONDS
+        told.trouble = update.trouble
         if not update.whole and update.sequence > told.sequence + 1:
             told.sequence = 0
             return
@@ -159,8 +160,6 @@
             told.members = dict(update.members)
         if node == self.hubs.first():
             self.loads.observe(update)
-        if update.trouble:
-            self.knowledge.book.observe_trouble(told.at)
         if told.store_age < STALE_SECONDS:
             self.contact.heard_store(told.at - told.store_age)
         self.observe_items(update)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
@@ -116,7 +116,7 @@
     def miss(self, error: StoreError) -> None:
         """Note a failed call."""
         self.contact.missed_store(error.message)
-        self.knowledge.book.observe_trouble(self.clock())
+        self.knowledge.book.failed_at = self.clock()
 
 
 def last_revision(changes: Iterable[Change]) -> int:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -15,7 +15,6 @@
 from turmericyard_http.clock import Clock
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.contact import Contact
-from turmericyard_node.forwarding.endpoint_book import TROUBLE_SECONDS
 from turmericyard_node.forwarding.knowledge import Knowledge
 from turmericyard_node.forwarding.load_book import (
     LoadBook,
@@ -126,7 +125,6 @@
         """Return an update with the state of the store."""
         now = self.clock()
         age = min(now - self.contact.store_at, LONGEST_AGE_SECONDS)
-        trouble = now - self.knowledge.book.trouble_at < TROUBLE_SECONDS
         return HubUpdate(
             self.sequence,
             whole,
@@ -134,7 +132,7 @@
             use,
             self.knowledge.view.revision if whole else self.told_revision(),
             int(age * MILLISECONDS),
-            trouble,
+            self.knowledge.book.has_failed(now),
             items,
         )
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub_choice.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub_choice.py
@@ -25,6 +25,8 @@
     sequence: int = 0
     members: dict[str, bool] = field(default_factory=dict)
     store_age: float = float('inf')
+    #: Whether the store failed the hub itself lately.
+    trouble: bool = False
 
 
 @dataclass(slots=True)
@@ -76,6 +78,22 @@
                 return told
         return None
 
+    def in_trouble(self, *, failed: bool) -> bool:
+        """Return whether nobody who asks the store gets answers.
+
+        Each tells of its own calls only, so that trouble ends when it ends.
+        `failed` says whether this node's own calls failed lately.
+        """
+        now = self.clock()
+        signs = [
+            told.trouble
+            for told in self.news.values()
+            if now - told.at < LIVE_SECONDS
+        ]
+        if self.follows_store():
+            signs.append(failed)
+        return all(signs)
+
     def follows_store(self) -> bool:
         """Return whether this node must ask the store itself."""
         if self.is_hub():
