Split the fleet's messages and the forwarding steps; remove fields that nothing reads

The verdict on an answer is an enum; figures of endpoints that no decision reads and the call that frees copies (unused) are gone from the ports and the adapter.

--- /dev/null
+++ b/features/steps/forwarding_knowledge_steps.py
@@ -0,0 +1,275 @@
+"""Steps for what nodes know of the platform."""
+
+import json
+from functools import partial
+from typing import Any
+
+import curio
+from behave import then, when
+from behave.runner import Context
+
+from support.fleet.scenario import (
+    all_runs,
+    asks,
+    run,
+    seconds_until,
+)
+from support.fleet.world import World, manifest
+
+
+def with_route() -> dict[str, Any]:
+    added = manifest(5)
+    added['routes'].append(
+        {**added['routes'][0], 'name': 'more', 'pathPrefix': '/more/'}
+    )
+    return added
+
+
+@when('the store is {trouble} for 2 seconds and a route is added after it')
+def step_trouble(context: Context, trouble: str) -> None:
+    async def scenario(world: World) -> None:
+        if trouble == 'compacted':
+            world.store.put('op/other', {})
+            world.store.compact()
+            world.store.put('op/another', {})
+            world.store.compact()
+        else:
+            world.store.mode = trouble
+            await curio.sleep(2)
+            world.store.mode = ''
+        world.store.put('op/config', with_route())
+        context.took = {
+            node: await seconds_until(
+                world, partial(asks, world, node, '/more/a', 200), 5
+            )
+            for node in world.nodes
+        }
+
+    run(context, scenario)
+
+
+@then('every node serves the new route within {seconds:d} seconds')
+def step_in_force(context: Context, seconds: int) -> None:
+    assert max(context.took.values()) <= seconds, context.took
+
+
+@when('the store turns one node away and a key is taken away')
+def step_turned_away(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        store = world.nodes['n-1'].follower.store
+        store.client.address = '127.0.0.1:1'
+        await store.client.close()
+        await curio.sleep(0.5)
+        changed = manifest(5, tenants=[{'name': 'firm', 'apiKeys': ['key-2']}])
+        world.store.put('op/config', changed)
+        context.took = await seconds_until(
+            world, partial(asks, world, 'n-1', '/read/a', 401), 8
+        )
+
+    run(context, scenario)
+
+
+@then('that node refuses the key within {seconds:d} seconds')
+def step_refuses(context: Context, seconds: int) -> None:
+    assert context.took <= seconds, context.took
+
+
+@when('the store goes down and another node starts')
+def step_late_start(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        world.store.mode = 'busy'
+        await curio.sleep(0.3)
+        await world.add_node('n-9')
+        context.took = await seconds_until(
+            world, partial(asks, world, 'n-9', '/read/a', 200), 8
+        )
+
+    run(context, scenario)
+
+
+@then('that node serves within {seconds:d} seconds')
+def step_serves(context: Context, seconds: int) -> None:
+    assert context.took <= seconds, context.took
+
+
+@when('an endpoint announces that it leaves')
+def step_leaves(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        world.register('i-0', 'plain', 'draining')
+        await curio.sleep(1)
+        before = len(world.runners['i-0'].arrivals)
+        for number in range(12):
+            await world.ask(f'n-{number % 2}', '/read/a', f'at-{number}')
+        context.late = len(world.runners['i-0'].arrivals) - before
+
+    run(context, scenario)
+
+
+@when(
+    'an endpoint leaves while watches hear nothing for 2 seconds'
+    ' and the history is dropped'
+)
+def step_deaf(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        world.store.deaf = True
+        world.register('i-0', 'plain', 'draining')
+        await curio.sleep(2)
+        world.store.compact()
+        world.store.deaf = False
+        await curio.sleep(1)
+        before = len(world.runners['i-0'].arrivals)
+        for number in range(12):
+            await world.ask(f'n-{number % 2}', '/read/a', f'at-{number}')
+        context.late = len(world.runners['i-0'].arrivals) - before
+
+    run(context, scenario)
+
+
+@when('the store fails for 2 seconds and 3 seconds later a record is removed')
+def step_removed(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        world.store.mode = 'busy'
+        await curio.sleep(2)
+        world.store.mode = ''
+        await curio.sleep(3)
+        world.store.drop('servers/i-0')
+        await curio.sleep(1)
+        before = len(world.runners['i-0'].arrivals)
+        for number in range(12):
+            await world.ask(f'n-{number % 2}', '/read/a', f'at-{number}')
+        context.late = len(world.runners['i-0'].arrivals) - before
+
+    run(context, scenario)
+
+
+@then('it gets no request later than 1 second after that')
+def step_no_late(context: Context) -> None:
+    assert context.late == 0
+
+
+@when('the records of all endpoints lapse while the store is down')
+def step_lapse(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        world.store.mode = 'busy'
+        await curio.sleep(0.5)
+        for identity in world.runners:
+            world.store.drop(f'servers/{identity}')
+        context.answers = [await world.ask('n-0', '/read/a', 'at-0')]
+        world.store.mode = ''
+        await curio.sleep(1)
+        context.answers.append(await world.ask('n-0', '/read/a', 'at-1'))
+        for identity in world.runners:
+            world.register(identity, 'plain')
+        await curio.sleep(2.5)
+        context.answers.append(await world.ask('n-0', '/read/a', 'at-2'))
+
+    run(context, scenario)
+
+
+@then('calls are served during the outage and after the records are back')
+def step_lapse_served(context: Context) -> None:
+    assert [each.status for each in context.answers] == [200] * 3
+
+
+@when('the zone of all endpoints is closed')
+def step_close(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        world.store.put('op/evacuate/a', {})
+        await curio.sleep(1)
+        context.answers = [
+            await world.ask(node, '/read/a', f'at-{node}')
+            for node in world.nodes
+        ]
+
+    run(context, scenario)
+
+
+@then('calls are refused with a time to come back within 1 second')
+def step_closed(context: Context) -> None:
+    assert {each.status for each in context.answers} == {503}
+    assert all('retry-after' in each.headers for each in context.answers)
+    assert max(each.seconds for each in context.answers) <= 1
+
+
+@when('records of other writers appear')
+def step_other_writers(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        world.store.put('servers/i-0', b'\xff\xfe not json')
+        world.register('i-0', 'plain')
+        for number, value in enumerate(
+            (
+                b'\xff\xfe',
+                b'[]',
+                json.dumps({'service': 'plain'}).encode(),
+                json.dumps(
+                    {
+                        'service': 'plain',
+                        'address': 7,
+                        'zone': 'a',
+                        'slots': 'many',
+                        'state': 'ready',
+                    }
+                ).encode(),
+                json.dumps(
+                    {
+                        'service': 'plain',
+                        'address': '127.0.0.1:1',
+                        'zone': 'a',
+                        'slots': 4,
+                        'state': 'odd',
+                    }
+                ).encode(),
+            )
+        ):
+            world.store.put(f'servers/x-{number}', value)
+        await curio.sleep(0.6)
+        context.answers = [
+            await world.ask('n-0', '/read/a', f'at-{number}')
+            for number in range(6)
+        ]
+        context.known = set(world.nodes['n-0'].knowledge.book.endpoints)
+
+    run(context, scenario)
+
+
+@then('calls go to the one endpoint only')
+def step_one_only(context: Context) -> None:
+    assert {each.status for each in context.answers} == {200}
+    assert context.known == {'i-0'}
+
+
+@when('a node is told to end while a call runs')
+def step_end(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        for runner in world.runners.values():
+            runner.event_seconds = 0.6
+        asking = await curio.spawn(world.ask, 'n-0', '/write/a', 'at-1')
+        await world.until(lambda: bool(all_runs(world)))
+        ending = world.nodes.pop('n-0')
+        stopping = await curio.spawn(ending.stop)
+        context.answers = [await asking.join()]
+        await curio.sleep(0.5)
+        fleet = world.nodes['n-1'].fleet
+        context.ready = ending.is_ready()
+        context.named = fleet.addresses('a')
+        context.ending = ending.settings.callers
+        await stopping.join()
+
+    run(context, scenario)
+
+
+@then('the call was answered 200')
+def step_answered(context: Context) -> None:
+    assert [each.status for each in context.answers] == [200]
+    assert context.answers[0].headers.get('connection') == 'close'
+
+
+@then('the other node no longer names it')
+def step_unnamed(context: Context) -> None:
+    assert context.ending not in context.named
+    assert context.named
+
+
+@then('it is not ready')
+def step_unready(context: Context) -> None:
+    assert not context.ready
--- /dev/null
+++ b/features/steps/forwarding_streams_steps.py
@@ -0,0 +1,132 @@
+"""Steps for streams that outlive their endpoint."""
+
+from functools import partial
+
+import curio
+from behave import given, then, when
+from behave.runner import Context
+
+from support.fleet.scenario import (
+    all_runs,
+    build,
+    run,
+    running,
+    stream,
+)
+from support.fleet.world import World
+
+
+@given('a world with {count:d} engines and {nodes:d} node')
+def step_engines(context: Context, count: int, nodes: int) -> None:
+    context.build = partial(build, 'engines', count, nodes)
+    context.prepare = []
+
+
+@given('a world with {count:d} engines that keep backups and {nodes:d} node')
+def step_backups(context: Context, count: int, nodes: int) -> None:
+    context.build = partial(build, 'engines', count, nodes, backups=True)
+    context.prepare = []
+
+
+async def announce(world: World, identity: str) -> None:
+    world.register(identity, 'engines', 'draining')
+
+
+@when('an engine leaves with notice while it streams {count:d} events')
+def step_notice(context: Context, count: int) -> None:
+    async def scenario(world: World) -> None:
+        asking = await stream(world, count)
+        identity = running(world)[0]
+        await announce(world, identity)
+        await curio.sleep(0.6)
+        await world.end_runner(identity)
+        context.answer = await asking.join()
+
+    run(context, scenario)
+
+
+@when('an engine dies without notice while it streams {count:d} events')
+def step_dies(context: Context, count: int) -> None:
+    async def scenario(world: World) -> None:
+        asking = await stream(world, count)
+        await world.end_runner(running(world)[0])
+        context.answer = await asking.join()
+
+    run(context, scenario)
+
+
+@when(
+    'two engines leave one after the other while {count:d} events are streamed'
+)
+def step_two(context: Context, count: int) -> None:
+    async def scenario(world: World) -> None:
+        asking = await stream(world, count)
+        for _ in range(2):
+            identity = running(world)[0]
+            await announce(world, identity)
+            await curio.sleep(0.5)
+            await world.end_runner(identity)
+            await world.until(lambda: bool(running(world)))
+        context.answer = await asking.join()
+
+    run(context, scenario)
+
+
+@when('the backup of a run leaves and then its engine leaves')
+def step_backup_leaves(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        asking = await stream(world, 60)
+        identity = running(world)[0]
+        backup = next(
+            each for each, runner in world.runners.items() if runner.copies
+        )
+        await announce(world, backup)
+        await curio.sleep(0.2)
+        context.gone = world.runners[backup]
+        context.arrived = len(context.gone.arrivals)
+        await announce(world, identity)
+        await curio.sleep(0.5)
+        await world.end_runner(identity)
+        context.answer = await asking.join()
+
+    run(context, scenario)
+
+
+@then('no endpoint got a request after it had left for 1.5 seconds')
+def step_left(context: Context) -> None:
+    assert len(context.gone.arrivals) == context.arrived
+
+
+def events(body: bytes) -> list[int]:
+    return [
+        int(line.removeprefix(b'id: '))
+        for line in body.split(b'\n')
+        if line.startswith(b'id: ')
+    ]
+
+
+@then('the client got {count:d} events, each once and in order')
+def step_events(context: Context, count: int) -> None:
+    got = events(context.answer.body)
+    assert got == list(range(1, count + 1)), (got, context.answer.error)
+
+
+@then('the client got the first events, each once and in order')
+def step_first_events(context: Context) -> None:
+    got = events(context.answer.body)
+    assert got and got == list(range(1, len(got) + 1)), got
+
+
+@then('the stream ended whole')
+def step_whole(context: Context) -> None:
+    assert context.answer.whole, context.answer.error
+
+
+@then('the stream did not end whole')
+def step_not_whole(context: Context) -> None:
+    assert not context.answer.whole
+
+
+@then('the generation ran once')
+def step_ran_once(context: Context) -> None:
+    assert all_runs(context.world) == ['at-1']
--- a/features/support/fleet/world.py
+++ b/features/support/fleet/world.py
@@ -149,7 +149,6 @@
             *addresses,
             tuple(node.settings.control for node in self.nodes.values()),
             self.store_address,
-            150_000_000,
             1.0,
             Bounds(grace_seconds=4),
         )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -27,7 +27,7 @@
 from turmericyard_node.forwarding.load_book import LoadBook
 from turmericyard_node.members import Member, Membership
 from turmericyard_node.peers.mesh import PeerMesh
-from turmericyard_protocol.messages import (
+from turmericyard_protocol.fleet_messages import (
     FleetBeat,
     HubUpdate,
     PlaceReply,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -22,7 +22,7 @@
     in_use,
 )
 from turmericyard_node.peers.mesh import PeerMesh
-from turmericyard_protocol.messages import (
+from turmericyard_protocol.fleet_messages import (
     EndpointUse,
     FleetBeat,
     HubUpdate,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/load_book.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/load_book.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from turmericyard_protocol.messages import EndpointUse, HubUpdate
+from turmericyard_protocol.fleet_messages import EndpointUse, HubUpdate
 
 #: Tokens are told to other nodes in steps of this size.
 TOKEN_STEP = 128
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
@@ -14,7 +14,7 @@
 from turmericyard_node.forwarding.fleet import Fleet
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.placer import Placer, need_of
-from turmericyard_protocol.messages import PlaceReply
+from turmericyard_protocol.fleet_messages import PlaceReply
 
 #: How long a hub has for its answer, in seconds: a round trip between zones
 #: takes a few milliseconds.
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
@@ -20,7 +20,7 @@
 from turmericyard_node.forwarding.load_book import LoadBook, Total
 from turmericyard_ports.configuration import Service
 from turmericyard_ports.settings import Bounds
-from turmericyard_protocol.messages import PlaceRequest
+from turmericyard_protocol.fleet_messages import PlaceRequest
 
 #: Parts of a cold endpoint's bound: for what a hub places, and for what all
 #: nodes place by themselves.
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -111,17 +111,17 @@
         passage: Passage = opened.unwrap()
         head = passage.head
         verdict = self.border.judge_answer(job.arrival, head.status, head.lines)
-        if verdict == Verdict.ANSWERED:
+        if verdict is Verdict.ANSWERED:
             failed = head.status >= FAILING
             endpoint.evidence.observe(failed=failed, now=now)
             return passage
         await passage.close()
-        if verdict == Verdict.FOREIGN:
+        if verdict is Verdict.FOREIGN:
             endpoint.evidence.observe(failed=True, now=now)
             return Lost('the answer belongs to another request')
-        if verdict == Verdict.MISDIRECTED:
+        if verdict is Verdict.MISDIRECTED:
             endpoint.evidence.observe_unreachable(now)
-        return NotRun(f'{verdict}, status {head.status}')
+        return NotRun(f'{verdict.value}, status {head.status}')
 
     def judge_failure(
         self, endpoint: Endpoint, opened: Result[Passage, HttpError], now: float
--- a/packages/turmericyard-ports/src/turmericyard_ports/border.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/border.py
@@ -9,7 +9,7 @@
 from turmericyard_http.messages import Request, Response
 from turmericyard_ports.configuration import Configuration
 from turmericyard_ports.endpoint import CopiedRun, CopyRefused, EndpointRecord
-from turmericyard_ports.request import Arrival, Headers, Onward
+from turmericyard_ports.request import Arrival, Headers, Onward, Verdict
 from turmericyard_ports.settings import ForwardingSettings
 
 
@@ -49,8 +49,8 @@
 
     def judge_answer(
         self, arrival: Arrival, status: int, headers: Headers
-    ) -> str:
-        """Return the `Verdict` of an endpoint's answer."""
+    ) -> Verdict:
+        """Return what an endpoint's answer says of its request."""
 
     def is_genuine(self, headers: Headers) -> bool:
         """Return whether an answer bears the endpoint's own mark."""
@@ -78,6 +78,3 @@
         self, address: str, attempt: str, destination: str, *, last: bool
     ) -> Result[CopiedRun, CopyRefused]:
         """Copy a run to another endpoint; `last` stops it first."""
-
-    async def drop_copy(self, address: str, handle: str) -> None:
-        """Free a copy that is not used."""
--- a/packages/turmericyard-ports/src/turmericyard_ports/configuration.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/configuration.py
@@ -48,8 +48,6 @@
 
     slots: int
     memory_tokens: int
-    token_bytes: float
-    link_megabits: float
     event_tokens: int
     can_move: bool
     can_back_up: bool
@@ -63,9 +61,7 @@
     """
 
     name: str
-    health_path: str
     cold_per_second: float
-    max_connections: int
     engine: EngineTraits | None = None
 
 
--- a/packages/turmericyard-ports/src/turmericyard_ports/endpoint.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/endpoint.py
@@ -33,13 +33,11 @@
 class CopiedRun:
     """A run whose memory can be continued.
 
-    `source` is the `ip:port` at which `handle` is known, `events` how many
-    events the run has made, None where that is not told.
+    `source` is the `ip:port` at which `handle` is known.
     """
 
     source: str
     handle: str
-    events: int | None = None
 
 
 class CopyFailure(Enum):
@@ -53,10 +51,9 @@
 
 @dataclass(frozen=True, slots=True)
 class CopyRefused:
-    """A copy that was not made; `kept` is the run that the source stopped."""
+    """A copy that was not made."""
 
     failure: CopyFailure
-    kept: CopiedRun | None = None
 
     @property
     def message(self) -> str:
--- a/packages/turmericyard-ports/src/turmericyard_ports/request.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/request.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from enum import Enum
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -63,7 +64,7 @@
     last_event: str
 
 
-class Verdict:
+class Verdict(Enum):
     """What an endpoint's answer says of its request."""
 
     #: The endpoint answered this request; status and body are its own.
--- a/packages/turmericyard-ports/src/turmericyard_ports/settings.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/settings.py
@@ -7,7 +7,6 @@
 class Bounds:
     """Promises towards the platform, in seconds unless said."""
 
-    drain_seconds: float = 2
     grace_seconds: float = 8
     address_ttl_seconds: float = 2
     retry_ratio: float = 0.2
@@ -32,7 +31,6 @@
     peers: str
     seeds: tuple[str, ...]
     store: str
-    memory_bytes: int
     #: Processor time that the process may use, in cores.
     cores: float
     bounds: Bounds
--- /dev/null
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -0,0 +1,104 @@
+"""Messages between forwarding nodes and their hubs, one data class each."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointUse:
+    """What one node runs at an endpoint; memory and prompts in tokens.
+
+    `held_tokens` are taken now, `memory_tokens` when the runs are at their
+    likely ends. `reading` runs have no event yet: their prompts are read.
+    `lent_tokens` are copies that the endpoint keeps of runs at
+    others.
+    """
+
+    identity: str
+    running: int
+    reading: int
+    held_tokens: int
+    memory_tokens: int
+    unread_tokens: int
+    lent_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class FleetBeat:
+    """What a forwarding node tells its hubs.
+
+    `sequence` is that of the last update that it has of the hub, `revision`
+    that of its view of the store, `taking` whether clients may be sent to it,
+    `use` what it runs at each endpoint.
+    """
+
+    sequence: int
+    revision: int
+    taking: bool
+    use: tuple[EndpointUse, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StoreItem:
+    """An item of the store; `value` is None after its removal."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class HubUpdate:
+    """What a hub knows, whole or since its update before.
+
+    `members` are the nodes that it hears and whether clients may be sent to
+    them; `use` are the changed sums over all nodes; `items` the changed items
+    of the store at `revision`. `store_age_ms` is the time since the store
+    answered the hub, `trouble` whether the store failed it lately.
+    """
+
+    sequence: int
+    whole: bool
+    members: tuple[tuple[str, bool], ...]
+    use: tuple[EndpointUse, ...]
+    revision: int
+    store_age_ms: int
+    trouble: bool
+    items: tuple[StoreItem, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ViewItemsRequest:
+    """Asks a node for its view of the store when it is newer."""
+
+    after: int
+
+
+@dataclass(frozen=True, slots=True)
+class ViewItemsReply:
+    """All items at a revision; empty with revision 0 when not newer."""
+
+    revision: int
+    items: tuple[StoreItem, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceRequest:
+    """Asks a hub for the place of a generation; `tokens` is its forecast.
+
+    `most_reading` bounds the prompts that its endpoint reads at a time.
+    `avoided` are endpoints that the asker knows to fail.
+    """
+
+    service: str
+    zone: str
+    prompt_tokens: int
+    tokens: int
+    most_reading: int
+    avoided: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceReply:
+    """The endpoint of a generation, empty when none has room."""
+
+    endpoint: str
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/message_types.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/message_types.py
@@ -5,7 +5,7 @@
 
 from typing import Any
 
-from turmericyard_protocol import messages
+from turmericyard_protocol import fleet_messages, messages
 
 MESSAGE_TYPES: dict[int, type[Any]] = {
     1: messages.Challenge,
@@ -34,10 +34,10 @@
     24: messages.PaceNotice,
     30: messages.ExplainRequest,
     31: messages.ExplainReply,
-    40: messages.FleetBeat,
-    41: messages.ViewItemsRequest,
-    42: messages.ViewItemsReply,
-    43: messages.HubUpdate,
-    44: messages.PlaceRequest,
-    45: messages.PlaceReply,
+    40: fleet_messages.FleetBeat,
+    41: fleet_messages.ViewItemsRequest,
+    42: fleet_messages.ViewItemsReply,
+    43: fleet_messages.HubUpdate,
+    44: fleet_messages.PlaceRequest,
+    45: fleet_messages.PlaceReply,
 }
