Let the stand-in that refuses connections refuse them

Cause: closing a test server ended its connections and left its listener open, so the example "refuses connections" of at_most_once.feature met an endpoint that answered, and an ended runner still accepted connections. Change: the listener is shut down first. Before: that example sent to a serving endpoint. Conclusion: the node's behaviour was right; the check had been empty.

--- a/features/steps/forwarding_requests_steps.py
+++ b/features/steps/forwarding_requests_steps.py
@@ -46,7 +46,7 @@
     async def prepare(world: World) -> None:
         runner = world.runners['i-0']
         if fault == 'refuses connections':
-            await world.servers.pop('i-0').close()
+            await world.servers.pop('i-0').finish(0)
         elif fault == 'has another identity':
             runner.identity = 'i-other'
         else:
--- a/features/support/fleet/world.py
+++ b/features/support/fleet/world.py
@@ -135,13 +135,15 @@
         self.store.put(f'servers/{identity}', record)
 
     async def end_runner(self, identity: str) -> None:
-        """End a runner as a reclaim does: its connections break."""
+        """End a runner: its connections break and no new one is accepted."""
         self.runners[identity].ended = True
         await curio.sleep(0.1)
-        await self.servers.pop(identity).close()
+        server = self.servers.pop(identity)
+        await server.finish(0)
+        await server.close()
 
     async def add_node(self, name: str, zone: str = 'a') -> Any:
-        addresses = [f'{LOOPBACK}:{free_port()}' for _ in range(5)]
+        addresses = [f'{LOOPBACK}:{free_port()}' for _ in range(6)]
         settings = ForwardingSettings(
             name,
             zone,
