--- a/features/support/fleet/scenario.py
+++ b/features/support/fleet/scenario.py
@@ -22,7 +22,10 @@
 
 
 def run(context: Context, scenario: Any) -> None:
-    """Build the world, apply the faults and play the scenario."""
+    """Build the world, apply the faults and play the scenario.
+
+    `context.afterwards`, if a step set it, runs before the world is closed.
+    """
 
     async def whole(world: World) -> None:
         context.world = world
@@ -30,6 +33,8 @@
         for prepare in context.prepare:
             await prepare(world)
         await scenario(world)
+        if 'afterwards' in context:
+            await context.afterwards(context)
 
     play(whole)
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
@@ -112,6 +112,7 @@
             (self.settings.readiness, self.entry.answer, Limits()),
             (self.settings.control, self.entry.answer, Limits()),
             (self.settings.directory, self.entry.answer, Limits()),
+            (self.settings.metrics, self.entry.answer, Limits()),
         )
         for address, handler, limits in interfaces:
             server = HttpServer(listen(address), handler, limits)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -1,9 +1,7 @@
 """Joins the parts of a forwarding node."""
 
 from functools import partial
-from uuid import uuid4
 
-from turmericyard_clients.store import Store
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.tasks import BackgroundTasks
 from turmericyard_node.contact import Contact
@@ -12,12 +10,14 @@
 from turmericyard_node.forwarding.discovery import Discovery
 from turmericyard_node.forwarding.entry import Entry
 from turmericyard_node.forwarding.fleet import Fleet
+from turmericyard_node.forwarding.fleet_assembly import create_fleet
 from turmericyard_node.forwarding.follow import Follower
-from turmericyard_node.forwarding.hub import LIVE_SECONDS, Hub
+from turmericyard_node.forwarding.gauges import register_gauges
+from turmericyard_node.forwarding.hub import LIVE_SECONDS
 from turmericyard_node.forwarding.hub_choice import HubChoice
+from turmericyard_node.forwarding.instruments import create_instruments
 from turmericyard_node.forwarding.intake import Intake
 from turmericyard_node.forwarding.knowledge import Knowledge, create_knowledge
-from turmericyard_node.forwarding.load_book import LoadBook
 from turmericyard_node.forwarding.moves import Mover
 from turmericyard_node.forwarding.placement import Placement
 from turmericyard_node.forwarding.placer import Placer
@@ -26,17 +26,9 @@
 from turmericyard_node.forwarding.stalls import StallWatch
 from turmericyard_node.forwarding.streams import StreamForwarder
 from turmericyard_node.forwarding.waiting import WaitingRoom
-from turmericyard_node.members import Member, Membership
-from turmericyard_node.peers.identity import Identity
-from turmericyard_node.peers.mesh import PeerMesh
 from turmericyard_ports.border import Border
 from turmericyard_ports.settings import ForwardingSettings
 
-#: How long a record outlives its node, in seconds.
-MEMBER_TTL_SECONDS = 10.0
-#: The mesh needs no secret where the platform closes its network.
-OPEN_NETWORK_SECRET = b'turmericyard'
-
 
 def create_forwarding(
     settings: ForwardingSettings, border: Border
@@ -59,7 +51,10 @@
         fleet.size,
     )
     fleet.place_for = placer.place_for
-    room = WaitingRoom(Placement(fleet, placer, boot_seconds), boot_seconds)
+    instruments = create_instruments()
+    room = WaitingRoom(
+        Placement(fleet, placer, boot_seconds), boot_seconds, instruments
+    )
     intake, mover = create_forwarders(border, settings, fleet, room)
     application = ForwardingApplication(
         settings,
@@ -79,13 +74,14 @@
         discovery,
         room,
         intake,
-        Entry(border, fleet, settings.bounds.address_ttl_seconds),
+        Entry(border, fleet, settings.bounds.address_ttl_seconds, instruments),
         mover,
         StallWatch(boot_seconds),
         BackgroundTasks(),
     )
     fleet.is_ready = application.is_ready
     knowledge.book.listeners.append(application.departures.append)
+    register_gauges(application, instruments.gauges)
     return application
 
 
@@ -94,48 +90,6 @@
     return tuple(seed for seed in settings.seeds if seed != settings.control)
 
 
-def create_fleet(
-    settings: ForwardingSettings,
-    store: Store,
-    contact: Contact,
-    knowledge: Knowledge,
-) -> Fleet:
-    """Return this node among its peers."""
-    own = Member(
-        settings.node,
-        uuid4().hex,
-        settings.zone,
-        settings.node,
-        settings.peers,
-        settings.callers,
-        settings.control,
-        cores=settings.cores,
-    )
-    membership = Membership(
-        own, store, contact, boot_seconds, MEMBER_TTL_SECONDS
-    )
-    membership.members[own.node] = own
-    mesh = PeerMesh(
-        Identity(own.node, own.incarnation, OPEN_NETWORK_SECRET),
-        receive_nothing,
-        settings.peers.rpartition(':')[0],
-    )
-    loads = LoadBook()
-    fleet = Fleet(
-        membership,
-        contact,
-        mesh,
-        knowledge,
-        loads,
-        Hub(mesh, contact, knowledge, loads, boot_seconds),
-        HubChoice(membership, boot_seconds),
-        boot_seconds,
-        is_not_ready,
-    )
-    mesh.receiver = fleet.receive
-    return fleet
-
-
 def create_forwarders(
     border: Border,
     settings: ForwardingSettings,
@@ -144,10 +98,18 @@
 ) -> tuple[Intake, Mover]:
     """Return what carries requests and moves their runs."""
     loads = fleet.loads
-    sender = Sender(border, settings.bounds, fleet, boot_seconds, {})
+    instruments = room.instruments
+    sender = Sender(border, settings.bounds, fleet, boot_seconds, instruments)
     book = RunBook(loads)
     streams = StreamForwarder(
-        border, sender, room, room.placement.placer, loads, book, boot_seconds
+        border,
+        sender,
+        room,
+        room.placement.placer,
+        loads,
+        book,
+        boot_seconds,
+        instruments,
     )
     calls = CallForwarder(border, sender, room, loads, boot_seconds)
     intake = Intake(
@@ -156,22 +118,14 @@
         fleet.contact,
         calls,
         streams,
+        instruments,
         boot_seconds,
     )
     return intake, Mover(
-        border, room.placement.placer, loads, book, boot_seconds
+        border, room.placement.placer, loads, book, boot_seconds, instruments
     )
 
 
 def store_fails(hubs: HubChoice, knowledge: Knowledge) -> bool:
     """Return whether the store answers neither this node nor its hubs."""
     return hubs.in_trouble(failed=knowledge.book.has_failed(boot_seconds()))
-
-
-def is_not_ready() -> bool:
-    """Return False until the application has its own answer."""
-    return False
-
-
-async def receive_nothing(_payload: object, _sender: str) -> None:
-    """Receive nothing until the fleet exists."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/entry.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/entry.py
@@ -8,7 +8,7 @@
 from turmericyard_http.messages import Request, Response
 from turmericyard_node.forwarding.discovery import MEMBERS_PATH
 from turmericyard_node.forwarding.fleet import Fleet
-from turmericyard_node.metrics import render_metrics
+from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_ports.border import Border
 
 OK = 200
@@ -24,6 +24,7 @@
     border: Border
     fleet: Fleet
     address_ttl_seconds: float
+    instruments: Instruments
 
     async def answer(self, request: Request) -> Answer:
         """Return the answer to a question about the node."""
@@ -32,7 +33,7 @@
             return Response(OK, {}, b'[%s]' % records)
         if request.path == METRICS_PATH:
             return Response(
-                OK, {'content-type': 'text/plain'}, render_metrics()
+                OK, {'content-type': 'text/plain'}, self.instruments.render()
             )
         asked = self.border.entry_call(request)
         if asked == 'addresses':
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
@@ -0,0 +1,72 @@
+"""Joins the parts by which a forwarding node works with its peers."""
+
+from uuid import uuid4
+
+from turmericyard_clients.store import Store
+from turmericyard_http.clock import boot_seconds
+from turmericyard_node.contact import Contact
+from turmericyard_node.forwarding.fleet import Fleet
+from turmericyard_node.forwarding.hub import Hub
+from turmericyard_node.forwarding.hub_choice import HubChoice
+from turmericyard_node.forwarding.knowledge import Knowledge
+from turmericyard_node.forwarding.load_book import LoadBook
+from turmericyard_node.members import Member, Membership
+from turmericyard_node.peers.identity import Identity
+from turmericyard_node.peers.mesh import PeerMesh
+from turmericyard_ports.settings import ForwardingSettings
+
+#: How long a record outlives its node, in seconds.
+MEMBER_TTL_SECONDS = 10.0
+#: The mesh needs no secret where the platform closes its network.
+OPEN_NETWORK_SECRET = b'turmericyard'
+
+
+def create_fleet(
+    settings: ForwardingSettings,
+    store: Store,
+    contact: Contact,
+    knowledge: Knowledge,
+) -> Fleet:
+    """Return this node among its peers."""
+    own = Member(
+        settings.node,
+        uuid4().hex,
+        settings.zone,
+        settings.node,
+        settings.peers,
+        settings.callers,
+        settings.control,
+        cores=settings.cores,
+    )
+    membership = Membership(
+        own, store, contact, boot_seconds, MEMBER_TTL_SECONDS
+    )
+    membership.members[own.node] = own
+    mesh = PeerMesh(
+        Identity(own.node, own.incarnation, OPEN_NETWORK_SECRET),
+        receive_nothing,
+        settings.peers.rpartition(':')[0],
+    )
+    loads = LoadBook()
+    fleet = Fleet(
+        membership,
+        contact,
+        mesh,
+        knowledge,
+        loads,
+        Hub(mesh, contact, knowledge, loads, boot_seconds),
+        HubChoice(membership, boot_seconds),
+        boot_seconds,
+        is_not_ready,
+    )
+    mesh.receiver = fleet.receive
+    return fleet
+
+
+def is_not_ready() -> bool:
+    """Return False until the application has its own answer."""
+    return False
+
+
+async def receive_nothing(_payload: object, _sender: str) -> None:
+    """Receive nothing until the fleet exists."""
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
@@ -0,0 +1,36 @@
+"""Numbers of a forwarding node that are read at each scrape."""
+
+from turmericyard_node.forwarding.application import ForwardingApplication
+from turmericyard_node.metrics import Gauges
+
+PREFIX = 'turmericyard.forwarding'
+
+
+def register_gauges(application: ForwardingApplication, gauges: Gauges) -> None:
+    """Register the numbers that are read at each scrape."""
+    gauges.gauge(
+        f'{PREFIX}.open_requests',
+        '{request}',
+        lambda: application.intake.open_requests,
+    )
+    gauges.gauge(
+        f'{PREFIX}.waiting', '{request}', lambda: len(application.room.waiters)
+    )
+    gauges.gauge(
+        f'{PREFIX}.endpoints',
+        '{endpoint}',
+        lambda: len(application.knowledge.book.endpoints),
+    )
+    gauges.gauge(
+        f'{PREFIX}.view_revision',
+        '1',
+        lambda: application.knowledge.view.revision,
+    )
+    gauges.gauge(
+        f'{PREFIX}.store_age',
+        's',
+        lambda: application.clock() - application.contact.store_at,
+    )
+    gauges.counter(
+        f'{PREFIX}.loop_stalls', '{stall}', lambda: application.stalls.stalls
+    )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/intake.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/intake.py
@@ -11,6 +11,7 @@
 from turmericyard_node.contact import Contact
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.calls import CallForwarder
+from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.knowledge import Knowledge
 from turmericyard_node.forwarding.streams import StreamForwarder
@@ -42,6 +43,7 @@
     contact: Contact
     calls: CallForwarder
     streams: StreamForwarder
+    instruments: Instruments
     clock: Clock
     random: Random = field(default_factory=Random)
     open_requests: int = 0
@@ -138,14 +140,16 @@
         return self.clock() - heard > STALE_SECONDS
 
     def log(self, arrival: Arrival, answer: Answer, route: str) -> None:
-        """Write the line of an answered request."""
+        """Count an answered request and write its line."""
         table = self.knowledge.table
+        seconds = self.clock() - arrival.arrived_at
+        self.instruments.answered(route, answer.status, seconds)
         log_event(
             Event.REQUEST_ANSWERED,
             attempt=arrival.attempt,
             route=route,
             status=answer.status,
-            seconds=round(self.clock() - arrival.arrived_at, 4),
+            seconds=round(seconds, 4),
             version=table.configuration.version if table else None,
             revision=self.knowledge.view.revision,
         )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
@@ -15,6 +15,7 @@
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.endpoint_book import Endpoint
+from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.load_book import LoadBook, Use
 from turmericyard_node.forwarding.placer import Placer
 from turmericyard_node.forwarding.runs import Run, RunBook, RunCopy
@@ -42,6 +43,7 @@
     loads: LoadBook
     book: RunBook
     clock: Clock
+    instruments: Instruments
 
     async def leave(self, endpoint: Endpoint) -> None:
         """Copy the runs of an endpoint that leaves until it has ended."""
@@ -106,7 +108,8 @@
     def log(
         self, run: Run, holder: Endpoint | None, seconds: float, detail: str
     ) -> None:
-        """Write how a copy went; an empty detail is a success."""
+        """Count a copy and write how it went; no detail is a success."""
+        self.instruments.copied(run.job.service.name, done=not detail)
         log_event(
             Event.RUN_NOT_COPIED if detail else Event.RUN_COPIED,
             attempt=run.job.attempt,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
@@ -41,7 +41,7 @@
     ended: bool = False
     copied_at: float = 0
     moves: int = 0
-    begun_at: float = 0
+    first_at: float = 0
     event_at: float = 0
     longest_gap: float = 0
     gap_at: float = 0
@@ -70,6 +70,7 @@
 
     def note_events(self, now: float) -> None:
         """Note that events arrived; keeps the longest gap between them."""
+        self.first_at = self.first_at or now
         gap = now - self.event_at
         if self.event_at and gap > self.longest_gap:
             self.longest_gap = gap
@@ -77,6 +78,12 @@
         self.event_at = now
         self.refresh_use()
 
+    def first_seconds(self) -> float | None:
+        """Return the time to the first event, None before it."""
+        if not self.first_at:
+            return None
+        return round(self.first_at - self.job.arrival.arrived_at, 4)
+
     def refresh_use(self) -> None:
         """Tell the load book what the run holds now."""
         if self.splice.delivered:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -1,6 +1,6 @@
 """Sends one request to one endpoint and judges the answer."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from returns.result import Result, Success
 
@@ -10,6 +10,7 @@
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.endpoint_book import Endpoint
 from turmericyard_node.forwarding.fleet import Fleet
+from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.passage import Passage, open_passage
 from turmericyard_ports.border import Border
@@ -42,7 +43,8 @@
     bounds: Bounds
     fleet: Fleet
     clock: Clock
-    budgets: dict[str, RepeatBudget]
+    instruments: Instruments
+    budgets: dict[str, RepeatBudget] = field(default_factory=dict)
 
     def budget(self, service: str) -> RepeatBudget:
         """Return the budget of a service."""
@@ -89,6 +91,7 @@
             seconds,
         )
         judged = await self.judge(job, endpoint, opened)
+        self.instruments.sent(job.service.name, kind_of(judged))
         log_event(
             Event.REQUEST_SENT,
             attempt=job.attempt,
@@ -135,6 +138,13 @@
         return Lost(error.detail)
 
 
+def kind_of(judged: Passage | NotRun | Lost) -> str:
+    """Return the kind of outcome that is counted."""
+    if isinstance(judged, Passage):
+        return 'answered'
+    return 'not run' if isinstance(judged, NotRun) else 'lost'
+
+
 def outcome_of(judged: Passage | NotRun | Lost) -> str:
     """Return a short text for the log."""
     if isinstance(judged, Passage):
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -11,6 +11,7 @@
 from turmericyard_http.messages import OpaqueResponse
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.endpoint_book import Endpoint
+from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.load_book import LoadBook, Use
 from turmericyard_node.forwarding.passage import Passage
@@ -50,6 +51,7 @@
     loads: LoadBook
     book: RunBook
     clock: Clock
+    instruments: Instruments
 
     async def forward(self, job: Job) -> Answer:
         """Return the stream of a generation, or why there is none."""
@@ -82,7 +84,6 @@
             )
             if isinstance(sent, Passage) and sent.succeeded:
                 run = Run(job, place, sent, use, backup, backup_use)
-                run.begun_at = self.clock()
                 self.book.begin(run)
                 kept = True
                 return self.open(run)
@@ -157,8 +158,14 @@
                     raise ConnectionAbortedError(repr(error)) from error
 
     async def end(self, run: Run, outcome: str, started_at: float) -> None:
-        """Close a run's stream and log how it ended."""
+        """Close a run's stream, count it and log how it ended."""
         self.book.end(run)
+        self.instruments.streamed(
+            run.job.service.name,
+            outcome.partition(':')[0],
+            run.first_seconds(),
+            run.longest_gap,
+        )
         log_event(
             Event.STREAM_ENDED,
             attempt=run.job.attempt,
@@ -166,7 +173,7 @@
             outcome=outcome,
             events=run.splice.delivered,
             moves=run.moves,
-            first_seconds=round(run.begun_at - run.job.arrival.arrived_at, 3),
+            first_seconds=run.first_seconds(),
             longest_gap=round(run.longest_gap, 3),
             gap_at=round(run.gap_at, 3),
             seconds=round(self.clock() - started_at, 3),
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
@@ -9,6 +9,7 @@
 
 from turmericyard_http.clock import Clock
 from turmericyard_node.forwarding.endpoint_book import Endpoint
+from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.placement import Placement
 
@@ -53,6 +54,7 @@
 
     placement: Placement
     clock: Clock
+    instruments: Instruments
     waiters: list[Waiter] = field(default_factory=list)
     numbers: 'count[int]' = field(default_factory=count)
     placed_at: dict[str, deque[float]] = field(default_factory=dict)
@@ -60,6 +62,17 @@
 
     async def enter(self, job: Job) -> Endpoint | NoRoom:
         """Return the place of a request, or why it has none."""
+        began_at = self.clock()
+        place = await self.find(job)
+        self.instruments.waited(
+            job.service.name,
+            self.clock() - began_at,
+            placed=not isinstance(place, NoRoom),
+        )
+        return place
+
+    async def find(self, job: Job) -> Endpoint | NoRoom:
+        """Place a request at once, or when room becomes free in time."""
         if not self.has_rivals(job):
             place = await self.placement.place(job)
             if place is not None:
--- a/packages/turmericyard-node/src/turmericyard_node/lifecycle.py
+++ b/packages/turmericyard-node/src/turmericyard_node/lifecycle.py
@@ -179,35 +179,35 @@
 
 def register_gauges(application: Application) -> None:
     """Register the metrics that are read at each scrape."""
-    metrics = application.metrics
-    metrics.gauge('turmericyard.streams', '1', lambda: len(application.streams))
-    metrics.gauge(
+    gauges = application.metrics.gauges
+    gauges.gauge('turmericyard.streams', '1', lambda: len(application.streams))
+    gauges.gauge(
         'turmericyard.queued', '1', lambda: len(application.dispatcher.queue)
     )
-    metrics.gauge(
+    gauges.gauge(
         'turmericyard.configuration.revision',
         '1',
         lambda: application.configuration.current.revision,
     )
-    metrics.counter(
+    gauges.counter(
         'turmericyard.peer.sent', 'By', lambda: application.mesh.sent_bytes()
     )
-    metrics.counter(
+    gauges.counter(
         'turmericyard.peer.messages',
         '{message}',
         lambda: application.mesh.sent_messages(),
     )
-    metrics.counter(
+    gauges.counter(
         'turmericyard.permits.asked',
         '{request}',
         lambda: application.permits.asked,
     )
-    metrics.counter(
+    gauges.counter(
         'turmericyard.permits.granted',
         '{permit}',
         lambda: application.permits.granted,
     )
-    metrics.counter(
+    gauges.counter(
         'turmericyard.tokens.relayed',
         '1',
         lambda: application.tokens_relayed,
--- a/packages/turmericyard-node/src/turmericyard_node/metrics.py
+++ b/packages/turmericyard-node/src/turmericyard_node/metrics.py
@@ -62,15 +62,22 @@
     first_token: Any
     token_interval: IntervalHistogram
     queue_wait: Any
+    gauges: 'Gauges'
+
+
+@dataclass(frozen=True, slots=True)
+class Gauges:
+    """Metrics that are read at each scrape."""
+
     meter: Any
 
     def gauge(self, name: str, unit: str, source: NumberSource) -> None:
-        """Register a gauge that is read at each scrape."""
+        """Register a number that rises and falls."""
         read = partial(observe, source)
         self.meter.create_observable_gauge(name, [read], unit=unit)
 
     def counter(self, name: str, unit: str, source: NumberSource) -> None:
-        """Register a counter that is read at each scrape."""
+        """Register a number that only rises."""
         read = partial(observe, source)
         self.meter.create_observable_counter(name, [read], unit=unit)
 
@@ -101,7 +108,7 @@
         meter.create_histogram('turmericyard.first_token', 's'),
         token_interval,
         meter.create_histogram('turmericyard.queue_wait', 's'),
-        meter,
+        Gauges(meter),
     )
 
 
--- a/packages/turmericyard-ports/src/turmericyard_ports/settings.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/settings.py
@@ -29,6 +29,7 @@
     control: str
     directory: str
     peers: str
+    metrics: str
     seeds: tuple[str, ...]
     store: str
     #: Processor time that the process may use, in cores.
