Copy runs that begin at an engine after it announced to leave

Ruled out: late news of the leaving (it was known 1.5 s before the end). Change: the task stays while a request is under way to the engine; a holder that refused is asked again after all others. Before: both new scenarios fail. After: they pass (streams 8 of 8).

--- a/features/forwarding/streams.feature
+++ b/features/forwarding/streams.feature
@@ -6,6 +6,18 @@
     Then the client got 60 events, each once and in order
     And the stream ended whole
 
+  Scenario: A run that begins after its endpoint announced to leave goes on
+    Given a world with 3 engines and 1 node
+    When an engine announces to leave before it begins to stream 60 events
+    Then the client got 60 events, each once and in order
+    And the stream ended whole
+
+  Scenario: A run goes on when its first choice for a copy has no room
+    Given a world with 3 engines and 1 node
+    When an engine leaves and only one other has room while 60 events stream
+    Then the client got 60 events, each once and in order
+    And the stream ended whole
+
   Scenario: A run goes on at its backup when its endpoint dies
     Given a world with 3 engines that keep backups and 1 node
     When an engine dies without notice while it streams 60 events
--- a/features/steps/forwarding_streams_steps.py
+++ b/features/steps/forwarding_streams_steps.py
@@ -7,6 +7,7 @@
 from behave.runner import Context
 
 from support.fleet.scenario import (
+    PROMPT,
     all_runs,
     build,
     run,
@@ -15,6 +16,9 @@
 )
 from support.fleet.world import World
 
+#: How long an engine keeps a request before its stream begins, in seconds.
+HEAD_SECONDS = 0.5
+
 
 @given('a world with {count:d} engines and {nodes:d} node')
 def step_engines(context: Context, count: int, nodes: int) -> None:
@@ -45,6 +49,55 @@
     run(context, scenario)
 
 
+@when(
+    'an engine announces to leave before it begins to stream {count:d} events'
+)
+def step_late_begin(context: Context, count: int) -> None:
+    async def scenario(world: World) -> None:
+        for runner in world.runners.values():
+            runner.head_seconds = HEAD_SECONDS
+            runner.length = count
+        asking = await curio.spawn(
+            partial(world.ask, 'n-0', '/stream/a', 'at-1', **PROMPT)
+        )
+        await world.until(lambda: bool(asked(world)))
+        identity = asked(world)[0]
+        await announce(world, identity)
+        await world.until(lambda: bool(running(world)))
+        await curio.sleep(HEAD_SECONDS)
+        await world.end_runner(identity)
+        context.answer = await asking.join()
+
+    run(context, scenario)
+
+
+def asked(world: World) -> list[str]:
+    """Return the runners to which a request was sent."""
+    return [each for each, one in world.runners.items() if one.arrivals]
+
+
+@when(
+    'an engine leaves and only one other has room while {count:d} events stream'
+)
+def step_one_room(context: Context, count: int) -> None:
+    async def scenario(world: World) -> None:
+        asking = await stream(world, count)
+        identity = running(world)[0]
+        rival = await curio.spawn(
+            partial(world.ask, 'n-0', '/stream/b', 'at-2', **PROMPT)
+        )
+        await world.until(lambda: len(running(world)) == 2)
+        empty = set(world.runners).difference(running(world)).pop()
+        world.runners[empty].no_room = True
+        await announce(world, identity)
+        await curio.sleep(0.6)
+        await world.end_runner(identity)
+        context.answer = await asking.join()
+        await rival.join()
+
+    run(context, scenario)
+
+
 @when('an engine dies without notice while it streams {count:d} events')
 def step_dies(context: Context, count: int) -> None:
     async def scenario(world: World) -> None:
--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -31,6 +31,7 @@
 
     identity: str
     address: str = ''
+    head_seconds: float = 0
     event_seconds: float = 0.02
     length: int = 20
     fault: str = ''
@@ -60,6 +61,7 @@
             not_run = (b'x-turmericyard-not-executed', b'1')
             return OpaqueResponse(503, (echo, not_run))
         if request.path.startswith('/stream'):
+            await curio.sleep(self.head_seconds)
             return self.stream(headers, attempt, echo, fault)
         return await self.call(request, attempt, echo, fault)
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/load_book.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/load_book.py
@@ -98,6 +98,12 @@
         if use is not None:
             self.own.discard(use)
 
+    def has_use_of(self, identity: str) -> bool:
+        """Return whether a request runs at an endpoint or is sent there."""
+        return any(
+            use.identity == identity and not use.lent for use in self.own
+        )
+
     def observe(self, update: HubUpdate) -> None:
         """Take over a hub's sums over all nodes."""
         if update.whole:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
@@ -46,13 +46,14 @@
     instruments: Instruments
 
     async def leave(self, endpoint: Endpoint) -> None:
-        """Copy the runs of an endpoint that leaves until it has ended."""
-        while True:
+        """Copy the runs of an endpoint that leaves until it has ended.
+
+        Requests that were sent before it left may still begin to run there.
+        """
+        while self.loads.has_use_of(endpoint.identity):
             runs = [
                 run for run in self.book.at(endpoint) if self.needs_copy(run)
             ]
-            if not self.book.at(endpoint):
-                return
             ordered = order_copies(runs, Run.tokens)
             async with curio.TaskGroup() as group:
                 for lane in range(COPIES_AT_ONCE):
@@ -97,6 +98,8 @@
         done = isinstance(copied, Success)
         detail = '' if done else copied.failure().message
         self.log(run, holder, self.clock() - started_at, detail)
+        if not done:
+            run.unfit.add(holder.identity)
         if not done or run.ended or run.place is not source:
             self.loads.end(use)
             return
@@ -121,10 +124,16 @@
         )
 
     def choose_holder(self, run: Run) -> Endpoint | None:
-        """Return the endpoint for a run's copy, the same one as before."""
+        """Return the endpoint for a run's copy, the same one as before.
+
+        One that had no room for it is asked again after all others.
+        """
         now = self.clock()
         if run.copy is not None and run.copy.holder.usable(now):
             return run.copy.holder
-        return self.placer.place_copy(
-            run.job, run.tokens(), run.place, COPY_SHARE
+        found = self.placer.place_copy(
+            run.job, run.tokens(), run.place, run.unfit, COPY_SHARE
         )
+        if found is None:
+            run.unfit.clear()
+        return found
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
@@ -1,6 +1,6 @@
 """Turns what is known into places for requests and for copies of runs."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from random import Random
 
@@ -92,13 +92,17 @@
         job: Job,
         tokens: float,
         source: Endpoint,
+        unfit: Collection[str] = (),
         share: float = BACKUP_SHARE,
     ) -> Endpoint | None:
-        """Return the endpoint for a copy of a run, None without room."""
+        """Return the endpoint for a copy of a run, None without room.
+
+        Those that are `unfit`, by identity, are left out.
+        """
         candidates = {
             endpoint.identity: endpoint
             for endpoint in self.knowledge.endpoints(job.service.name)
-            if endpoint is not source
+            if endpoint is not source and endpoint.identity not in unfit
         }
         seats = self.seats(job.service, candidates)
         chosen = choose_copy_seat(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
@@ -27,7 +27,8 @@
 class Run:
     """One generation; its place changes when it moves.
 
-    `copy` is one that was made since its endpoint announced that it leaves.
+    `copy` is one that was made since its endpoint announced that it leaves,
+    `unfit` are endpoints (by identity) to which one could not be made.
     """
 
     job: Job
@@ -38,6 +39,7 @@
     backup_use: Use | None = None
     splice: EventSplice = field(default_factory=EventSplice)
     copy: RunCopy | None = None
+    unfit: set[str] = field(default_factory=set)
     ended: bool = False
     copied_at: float = 0
     moves: int = 0
