Keep news of a hub that cross the reply to a beat

The reply to a beat repeats the sequence that the beat bore; where an update had crossed it, the node went back to the older sequence, took the next update for one after a gap and dropped it until its next beat. Beats and updates meet on the same ticks, so this was common. Ruled out: late watches (the hub knew), stalls (no loop:stalled there). Change: a reply never takes the sequence back; news after a gap are acted on at once, while the view stays at its revision and the next beat asks for all.

--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -147,15 +147,24 @@
             self.loads.note_told()
 
     async def observe(self, node: str, update: HubUpdate) -> None:
-        """Take over what a hub tells; after a gap, ask for everything."""
+        """Take over what a hub tells; after a gap, ask for everything.
+
+        The reply to a beat repeats the sequence that the beat bore, and may
+        cross later updates. News after a gap are acted on, but the view stays
+        at its revision.
+        """
         told = self.hubs.news.setdefault(node, HubNews())
         told.at = self.clock()
         told.store_age = update.store_age_ms / MILLISECONDS
         told.trouble = update.trouble
         if not update.whole and update.sequence > told.sequence + 1:
             told.sequence = 0
+            self.knowledge.view.apply(0, to_changes(update.items))
+            await self.knowledge.flush()
             return
-        told.sequence = update.sequence
+        if update.whole:
+            told.sequence = update.sequence
+        told.sequence = max(told.sequence, update.sequence)
         if update.members:
             told.members = dict(update.members)
         if node == self.hubs.first():
@@ -171,10 +180,7 @@
         if update.whole:
             view.replace(update.revision, to_entries(update.items))
             return
-        changes = [
-            Change(item.key, item.value, item.revision) for item in update.items
-        ]
-        view.apply(update.revision, changes)
+        view.apply(update.revision, to_changes(update.items))
 
     async def fetch_view(self, node: str) -> None:
         """Take over the view of a node that has a newer one."""
@@ -237,6 +243,11 @@
         return ViewItemsReply(view.revision, items)
 
 
+def to_changes(items: tuple[StoreItem, ...]) -> list[Change]:
+    """Return the items as changes of the view."""
+    return [Change(item.key, item.value, item.revision) for item in items]
+
+
 def to_entries(items: tuple[StoreItem, ...]) -> list[Entry]:
     """Return the items that exist as entries of the store."""
     return [
