--- a/features/forwarding/streams.feature
+++ b/features/forwarding/streams.feature
@@ -43,18 +43,6 @@
     Then the client got 60 events, each once and in order
     And no endpoint got a request after it had left for 1.5 seconds
 
-  Scenario: A run whose backup has left goes on when its engine dies
-    Given a world with 3 engines that keep backups and 1 node
-    When the backup of a run leaves and later its engine dies without notice
-    Then the client got 150 events, each once and in order
-    And the stream ended whole
-
-  Scenario: A run without a backup goes on when its engine dies later
-    Given a world with 3 engines and 1 node
-    When an engine dies without notice after 1.5 seconds of 150 events
-    Then the client got 150 events, each once and in order
-    And the stream ended whole
-
   Scenario: A client that leaves ends its generation
     Given a world with 2 engines and 1 node
     When a client closes its connection while its stream runs
--- a/features/steps/forwarding_streams_steps.py
+++ b/features/steps/forwarding_streams_steps.py
@@ -16,10 +16,6 @@
 )
 from support.fleet.world import World
 
-#: Events of a stream that lasts three seconds.
-LONG = 150
-#: Time after which a run without a backup has a copy, in seconds.
-GUARDED_SECONDS = 1.5
 #: How long an engine keeps a request before its stream begins, in seconds.
 HEAD_SECONDS = 0.5
 
@@ -149,35 +145,6 @@
     run(context, scenario)
 
 
-@when('the backup of a run leaves and later its engine dies without notice')
-def step_backup_lost(context: Context) -> None:
-    async def scenario(world: World) -> None:
-        asking = await stream(world, LONG)
-        identity = running(world)[0]
-        backup = next(
-            each for each, runner in world.runners.items() if runner.copies
-        )
-        await announce(world, backup)
-        await curio.sleep(GUARDED_SECONDS)
-        await world.end_runner(identity)
-        context.answer = await asking.join()
-
-    run(context, scenario)
-
-
-@when(
-    'an engine dies without notice after {seconds:f} seconds of {count:d} events'
-)
-def step_dies_later(context: Context, seconds: float, count: int) -> None:
-    async def scenario(world: World) -> None:
-        asking = await stream(world, count)
-        await curio.sleep(seconds)
-        await world.end_runner(running(world)[0])
-        context.answer = await asking.join()
-
-    run(context, scenario)
-
-
 @then('no endpoint got a request after it had left for 1.5 seconds')
 def step_left(context: Context) -> None:
     assert len(context.gone.arrivals) == context.arrived
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
@@ -18,7 +18,6 @@
 from turmericyard_node.forwarding.entry import Entry
 from turmericyard_node.forwarding.fleet import Fleet
 from turmericyard_node.forwarding.follow import Follower
-from turmericyard_node.forwarding.guard import Guard
 from turmericyard_node.forwarding.intake import Intake
 from turmericyard_node.forwarding.knowledge import Knowledge
 from turmericyard_node.forwarding.moves import Mover
@@ -62,7 +61,6 @@
     intake: Intake
     entry: Entry
     mover: Mover
-    guard: Guard
     stalls: StallWatch
     tasks: BackgroundTasks
     servers: list[HttpServer] = field(default_factory=list)
@@ -86,7 +84,6 @@
             self.discovery.run_seeds,
             self.room.run,
             self.stalls.run,
-            self.guard.run,
             self.act_on_news,
         )
         for loop in loops:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -13,7 +13,6 @@
 from turmericyard_node.forwarding.fleet_assembly import create_fleet
 from turmericyard_node.forwarding.follow import Follower
 from turmericyard_node.forwarding.gauges import register_gauges
-from turmericyard_node.forwarding.guard import Guard
 from turmericyard_node.forwarding.hub import LIVE_SECONDS
 from turmericyard_node.forwarding.hub_choice import HubChoice
 from turmericyard_node.forwarding.instruments import create_instruments
@@ -77,7 +76,6 @@
         intake,
         Entry(border, fleet, settings.bounds.address_ttl_seconds, instruments),
         mover,
-        Guard(mover, room, boot_seconds),
         StallWatch(boot_seconds),
         BackgroundTasks(),
     )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
@@ -20,7 +20,6 @@
 from turmericyard_node.forwarding.placer import Placer
 from turmericyard_node.forwarding.runs import Run, RunBook, RunCopy
 from turmericyard_ports.border import Border
-from turmericyard_ports.endpoint import CopyFailure
 
 #: Output left below which a run ends in place sooner than it is copied, in
 #: tokens.
@@ -30,8 +29,6 @@
 COPIES_AT_ONCE = 2
 #: Pause after a copy that failed, in seconds.
 RETRY_SECONDS = 0.1
-#: Failures that say nothing of the holder.
-OWN_FAILURES = frozenset((CopyFailure.NO_RUN, CopyFailure.UNDER_WAY))
 #: Age at which a copy is brought up to date, in seconds; it lapses at a few
 #: times that.
 REFRESH_SECONDS = 1.5
@@ -81,13 +78,10 @@
         for run in runs:
             await self.copy(run)
 
-    async def copy(self, run: Run, share: float = COPY_SHARE) -> None:
-        """Copy a run, or bring its copy up to date.
-
-        A new holder has room for it below `share` of its memory.
-        """
+    async def copy(self, run: Run) -> None:
+        """Copy a run, or bring its copy up to date."""
         source = run.place
-        holder = self.choose_holder(run, share)
+        holder = self.choose_holder(run)
         if run.ended:
             return
         if holder is None:
@@ -104,7 +98,7 @@
         done = isinstance(copied, Success)
         detail = '' if done else copied.failure().message
         self.log(run, holder, self.clock() - started_at, detail)
-        if not done and copied.failure().failure not in OWN_FAILURES:
+        if not done:
             run.unfit.add(holder.identity)
         if not done or run.ended or run.place is not source:
             self.loads.end(use)
@@ -129,7 +123,7 @@
             detail=detail,
         )
 
-    def choose_holder(self, run: Run, share: float) -> Endpoint | None:
+    def choose_holder(self, run: Run) -> Endpoint | None:
         """Return the endpoint for a run's copy, the same one as before.
 
         One that had no room for it is asked again after all others.
@@ -138,7 +132,7 @@
         if run.copy is not None and run.copy.holder.usable(now):
             return run.copy.holder
         found = self.placer.place_copy(
-            run.job, run.tokens(), run.place, run.unfit, share
+            run.job, run.tokens(), run.place, run.unfit, COPY_SHARE
         )
         if found is None:
             run.unfit.clear()
