Take the bound on prompts read at a time back

Change: the bound goes, with its field in the hub's messages, the count of prompts being read and the gap of routes, which nothing else reads; so does its scenario, which tested the removed function.

--- a/features/decisions/seats.feature
+++ b/features/decisions/seats.feature
@@ -16,16 +16,6 @@
     When 4 prompts of 3000 tokens arrive at once
     Then 1 of them have no place
 
-  Scenario Outline: An engine reads as many prompts as pauses allow
-    Then with pauses of <gap> seconds and <tokens> tokens an event it reads <most>
-
-    Examples:
-      | gap  | tokens | most |
-      | 0.18 | 4      | 4    |
-      | 0.18 | 1      | 21   |
-      | 0.04 | 4      | 1    |
-      | 0    | 4      | 1000 |
-
   Scenario: A copy goes to an engine of the same zone with the most free memory
     Given 4 engines of 34000 tokens in the zones a, a, b, b
     And engine 1 holds 20000 tokens
--- a/features/steps/decisions_forwarding_steps.py
+++ b/features/steps/decisions_forwarding_steps.py
@@ -14,11 +14,9 @@
 from turmericyard_decisions.run_moves import order_copies
 from turmericyard_decisions.seats import (
     COPY_SHARE,
-    UNBOUNDED_READING,
     Seat,
     choose_copy_seat,
     choose_seat,
-    most_reading,
 )
 
 EXAMPLES = 200
@@ -168,7 +166,6 @@
             seat['zone'],
             64,
             seat['reading'],
-            seat['reading'],
             seat['held'],
             seat['memory'],
             context.capacity,
@@ -182,9 +179,7 @@
 def step_arrive(context: Context, count: int, tokens: int) -> None:
     random = Random(7)
     for _ in range(count):
-        chosen = choose_seat(
-            seats(context), tokens, 'a', random, UNBOUNDED_READING
-        )
+        chosen = choose_seat(seats(context), tokens, 'a', random)
         if chosen is None:
             context.unplaced += 1
             continue
@@ -210,14 +205,6 @@
     assert context.unplaced == count, context.unplaced
 
 
-@then(
-    'with pauses of {gap:g} seconds and {tokens:d} tokens an event'
-    ' it reads {most:d}'
-)
-def step_most(context: Context, gap: float, tokens: int, most: int) -> None:
-    assert most_reading(gap, tokens) == most, most_reading(gap, tokens)
-
-
 @when('a run of {tokens:d} tokens in zone {zone} is copied')
 def step_copy(context: Context, tokens: int, zone: str) -> None:
     context.chosen = choose_copy_seat(
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/seats.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/seats.py
@@ -14,12 +14,6 @@
 #: Delay that each running generation adds to a step, in seconds of the whole
 #: prompt's reading; from the engines' published figures.
 RUN_SECONDS = 0.01
-#: Time of a step with some runs, and of a chunk of a prompt in it, in seconds;
-#: from the engines' published figures.
-STEP_SECONDS = 0.009
-CHUNK_SECONDS = 0.008
-#: Prompts read at a time where no pause between events is bounded.
-UNBOUNDED_READING = 1_000
 #: Delay taken for a full memory against an empty one, in seconds.
 MEMORY_SECONDS = 0.4
 #: Advantage of the node's own zone, in seconds.
@@ -36,7 +30,7 @@
 class Seat:
     """One endpoint as a place for a request.
 
-    `reading` runs have their prompts read, `held_tokens` is the memory that runs and copies take now,
+    `held_tokens` is the memory that runs and copies take now,
     `memory_tokens` the forecast when its runs are at their likely ends,
     `capacity` 0 where it has no such limit, `unread_tokens` the prompts not
     yet read.
@@ -46,7 +40,6 @@
     zone: str
     slots: int
     running: int
-    reading: int = 0
     held_tokens: float = 0
     memory_tokens: float = 0
     capacity: float = 0
@@ -79,34 +72,14 @@
         )
 
 
-def most_reading(gap_seconds: float, event_tokens: int) -> int:
-    """Return how many prompts an engine may read at a time, at least one.
-
-    Each step has a chunk of every prompt that is read; the steps of an event
-    must take no longer than the pause that callers allow, 0 without a bound.
-    """
-    if not gap_seconds:
-        return UNBOUNDED_READING
-    step = gap_seconds / max(1, event_tokens)
-    return max(1, int((step - STEP_SECONDS) / CHUNK_SECONDS))
-
-
 def choose_seat(
     seats: Sequence[Seat],
     tokens: float,
     zone: str,
     random: Random,
-    reading: int,
 ) -> Seat | None:
-    """Return the seat with the least expected delay, None without room.
-
-    Seats that read `reading` prompts already get no more.
-    """
-    fitting = [
-        seat
-        for seat in seats
-        if seat.has_room(tokens) and seat.reading < reading
-    ]
+    """Return the seat with the least expected delay, None without room."""
+    fitting = [seat for seat in seats if seat.has_room(tokens)]
     if not fitting:
         return None
     return min(fitting, key=lambda seat: (seat.delay(zone), random.random()))
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -188,7 +188,7 @@
         """Return the sums that changed and remember all."""
         now = self.add_up()
         gone = [
-            EndpointUse(identity, 0, 0, 0, 0, 0, 0)
+            EndpointUse(identity, 0, 0, 0, 0, 0)
             for identity in self.sums.keys() - now.keys()
         ]
         changed = [use for key, use in now.items() if self.sums.get(key) != use]
@@ -200,7 +200,6 @@
         use = EndpointUse(
             identity,
             1,
-            1,
             need.prompt_tokens,
             need.tokens,
             need.prompt_tokens,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/load_book.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/load_book.py
@@ -26,7 +26,6 @@
     """The sum of some uses of one endpoint."""
 
     running: int = 0
-    reading: int = 0
     held_tokens: float = 0
     memory_tokens: float = 0
     unread_tokens: float = 0
@@ -38,7 +37,6 @@
             self.lent_tokens += use.held_tokens
             return
         self.running += 1
-        self.reading += use.unread_tokens > 0
         self.held_tokens += use.held_tokens
         self.memory_tokens += use.memory_tokens
         self.unread_tokens += use.unread_tokens
@@ -46,7 +44,6 @@
     def merge(self, other: 'Total') -> None:
         """Add another sum."""
         self.running += other.running
-        self.reading += other.reading
         self.held_tokens += other.held_tokens
         self.memory_tokens += other.memory_tokens
         self.unread_tokens += other.unread_tokens
@@ -55,7 +52,6 @@
     def subtract(self, other: 'Total') -> None:
         """Take another sum off; nothing goes below zero."""
         self.running = max(0, self.running - other.running)
-        self.reading = max(0, self.reading - other.reading)
         self.held_tokens = max(0, self.held_tokens - other.held_tokens)
         self.memory_tokens = max(0, self.memory_tokens - other.memory_tokens)
         self.unread_tokens = max(0, self.unread_tokens - other.unread_tokens)
@@ -64,7 +60,6 @@
     def add_peer(self, use: EndpointUse) -> None:
         """Add what a peer told."""
         self.running += use.running
-        self.reading += use.reading
         self.held_tokens += use.held_tokens
         self.memory_tokens += use.memory_tokens
         self.unread_tokens += use.unread_tokens
@@ -152,7 +147,6 @@
     return EndpointUse(
         identity,
         total.running,
-        total.reading,
         in_steps(total.held_tokens),
         in_steps(total.memory_tokens),
         in_steps(total.unread_tokens),
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
@@ -10,7 +10,6 @@
     choose_copy_seat,
     choose_seat,
     choose_service_seat,
-    most_reading,
 )
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
@@ -69,9 +68,7 @@
         seats = self.seats(service, candidates)
         if service.engine is None:
             return choose_service_seat(seats, need.zone, self.random)
-        return choose_seat(
-            seats, need.tokens, need.zone, self.random, need.most_reading
-        )
+        return choose_seat(seats, need.tokens, need.zone, self.random)
 
     def log(self, job: Job, chosen: Seat, candidates: int) -> None:
         """Write what decided a placement made here."""
@@ -169,7 +166,6 @@
         endpoint.record.zone,
         endpoint.record.slots,
         total.running,
-        total.reading,
         total.held_tokens + total.lent_tokens,
         total.memory_tokens + total.lent_tokens,
         capacity,
@@ -184,9 +180,5 @@
         zone,
         int(job.prompt_tokens()),
         int(job.memory_tokens()),
-        most_reading(
-            job.route.gap_target_seconds,
-            job.service.engine.event_tokens if job.service.engine else 1,
-        ),
         tuple(job.excluded),
     )
--- a/packages/turmericyard-ports/src/turmericyard_ports/configuration.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/configuration.py
@@ -39,7 +39,6 @@
     attempts: int
     priority: int = 0
     open_to_all: bool = False
-    gap_target_seconds: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -8,14 +8,12 @@
     """What one node runs at an endpoint; memory and prompts in tokens.
 
     `held_tokens` are taken now, `memory_tokens` when the runs are at their
-    likely ends. `reading` runs have no event yet: their prompts are read.
-    `lent_tokens` are copies that the endpoint keeps of runs at
-    others.
+    likely ends, `unread_tokens` the prompts of runs without an event yet,
+    `lent_tokens` copies that the endpoint keeps of runs at others.
     """
 
     identity: str
     running: int
-    reading: int
     held_tokens: int
     memory_tokens: int
     unread_tokens: int
@@ -85,7 +83,6 @@
 class PlaceRequest:
     """Asks a hub for the place of a generation; `tokens` is its forecast.
 
-    `most_reading` bounds the prompts that its endpoint reads at a time.
     `avoided` are endpoints that the asker knows to fail.
     """
 
@@ -93,7 +90,6 @@
     zone: str
     prompt_tokens: int
     tokens: int
-    most_reading: int
     avoided: tuple[str, ...]
 
 
