Log why a request found no endpoint

Cause: an operator could not tell a refusal for want of room from its lines: request:answered has the status and nothing of the wait that decided it (seen while writing OPERATIONS.md from real output). Change: one line a refusal with the requests that wait, the pace at which places become free, the expected wait, the patience and the time told. After: forwarding and events features pass.

--- a/packages/turmericyard-node/src/turmericyard_node/events.py
+++ b/packages/turmericyard-node/src/turmericyard_node/events.py
@@ -32,6 +32,7 @@
     REQUEST_RETRIED = (401, 'request:retried')
     REQUEST_SENT = (402, 'request:sent')
     REQUEST_PLACED = (403, 'request:placed')
+    REQUEST_NOT_PLACED = (404, 'request:not-placed')
     STREAM_REPLACED = (410, 'stream:replaced')
     STREAM_FAILED = (411, 'stream:failed')
     GENERATION_CANCELLED = (412, 'generation:cancelled')
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
@@ -8,6 +8,7 @@
 import curio
 
 from turmericyard_http.clock import Clock
+from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.endpoint_book import Endpoint
 from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.job import Job
@@ -132,13 +133,24 @@
 
     def no_room(self, job: Job, detail: str) -> NoRoom:
         """Return the refusal with the time when room is expected."""
-        expected = self.expected_wait(job) + self.pace(job.service.name)
+        pace = self.pace(job.service.name)
+        expected = self.expected_wait(job) + pace
         wait = min(
             max(expected, SHORTEST_RETURN_SECONDS), LONGEST_RETURN_SECONDS
         )
-        return NoRoom(
-            detail, wait * self.placement.placer.random.uniform(*RETURN_SPREAD)
+        wait *= self.placement.placer.random.uniform(*RETURN_SPREAD)
+        log_event(
+            Event.REQUEST_NOT_PLACED,
+            attempt=job.attempt,
+            detail=detail,
+            waiting=len(self.waiters),
+            pace=round(pace, 3),
+            expected=round(expected, 3),
+            patience=round(self.patience(job), 3),
+            left=round(job.seconds_left(self.clock()), 3),
+            return_seconds=round(wait, 3),
         )
+        return NoRoom(detail, wait)
 
     def note(self, job: Job) -> None:
         """Note that a request was placed."""
