Keep a view of the store from going back to removed items

A change that comes after a newer removal brought the item back until the next whole reading: a hub that lags could return an endpoint that had left, or an evacuation that was taken back. A whole view older than single news removed items that are newer than it. Change: removals newer than the last whole reading are remembered (1024 at most); a change older than the last whole reading is no news of an unknown item; a whole view removes only what is not newer than itself. Before: both scenarios of view.feature fail. After: they pass; forwarding 43 of 43.

--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/view.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/view.py
@@ -8,42 +8,71 @@
 
 from turmericyard_clients.store import Change, Entry
 
+#: Removals remembered; a hub lags by seconds, in which few items go.
+MAX_REMOVED = 1024
+
 Listener = Callable[[Change], None]
 
 
 @dataclass(slots=True)
 class StoreView:
-    """All items that the node knows; listeners hear each change."""
+    """All items that the node knows; listeners hear each change.
+
+    Several hubs tell of changes, and some lag. `removed` has the revisions of
+    removals that are newer than the last whole reading, at `read_at`: an older
+    change that comes after a removal must not bring the item back.
+    """
 
     revision: int = 0
+    read_at: int = 0
     items: dict[str, Entry] = field(default_factory=dict)
+    removed: dict[str, int] = field(default_factory=dict)
     listeners: list[Listener] = field(default_factory=list)
 
     def apply(self, revision: int, changes: Iterable[Change]) -> None:
         """Take over the changes of a watch; older ones change nothing."""
         for change in changes:
-            known = self.items.get(change.key)
-            if known is None or known.revision < change.revision:
+            if change.revision > self.known_revision(change.key):
                 self.change(change)
         self.revision = max(self.revision, revision)
 
+    def known_revision(self, key: str) -> int:
+        """Return the revision up to which an item's state is known."""
+        known = self.items.get(key)
+        if known is not None:
+            return known.revision
+        return max(self.read_at, self.removed.get(key, 0))
+
     def replace(self, revision: int, entries: Iterable[Entry]) -> bool:
         """Take over a whole view if it is not older than this one."""
         if revision < self.revision:
             return False
+        self.read_at = 0
         found = {entry.key: entry for entry in entries}
-        for key in self.items.keys() - found.keys():
-            self.change(Change(key, None, revision))
+        for key, known in tuple(self.items.items()):
+            if key not in found and known.revision <= revision:
+                self.change(Change(key, None, revision))
         for entry in found.values():
-            known = self.items.get(entry.key)
-            if known is None or known.revision < entry.revision:
+            if entry.revision > self.known_revision(entry.key):
                 self.change(Change(entry.key, entry.value, entry.revision))
         self.revision = revision
+        self.read_at = revision
+        self.removed = {
+            gone: at for gone, at in self.removed.items() if at > revision
+        }
         return True
 
+    def note_removal(self, change: Change) -> None:
+        """Remember a removal; the oldest ones are forgotten."""
+        self.removed.pop(change.key, None)
+        self.removed[change.key] = change.revision
+        if len(self.removed) > MAX_REMOVED:
+            self.removed.pop(next(iter(self.removed)))
+
     def change(self, change: Change) -> None:
         """Take over one change and tell the listeners."""
         if change.value is None:
+            self.note_removal(change)
             if self.items.pop(change.key, None) is None:
                 return
         else:
