--- a/features/node/peer_link.feature
+++ b/features/node/peer_link.feature
@@ -10,6 +10,11 @@
     When the process of the second ends
     Then the first knows that the second has ended
 
+  Scenario: A peer whose process ends with messages unread has ended
+    Given two nodes that are linked
+    When the process of the second ends with messages unread
+    Then the first knows that the second has ended
+
   Scenario: A peer that closes a link but runs is not taken to have ended
     Given two nodes that are linked
     When the second closes the link and new connections are refused
--- a/features/node/permits_limits.feature
+++ b/features/node/permits_limits.feature
@@ -30,14 +30,19 @@
       | is killed and started again           |
       | is frozen for 7 seconds, past a loan  |
 
-  Scenario: The work of a killed node's endpoints goes on
+  Scenario Outline: The work of a killed node's endpoints goes on
     Given 24 callers ask all nodes for reports of 60 tokens
-    When the node that owns engine report-1 is killed
-    And 24 callers ask all nodes for reports of 60 tokens
+    When the node that owns engine report-1 <failure>
+    And callers ask all nodes for reports of 60 tokens until engine report-1 has work
     Then all reports arrive whole
     And engine report-1 got work from another node
     And all invariants of the run hold
 
+    Examples:
+      | failure                        |
+      | is killed                      |
+      | is killed with messages unread |
+
   Scenario: The store is down throughout
     When the platform's store goes down for good
     And 24 callers ask all nodes for reports of 60 tokens
--- a/features/steps/node_peer_link_steps.py
+++ b/features/steps/node_peer_link_steps.py
@@ -25,7 +25,8 @@
 def step_meshes(context: Context) -> None:
     names = ('first', 'second')
     context.meshes = [
-        PeerMesh(Identity(name, 'i', b'secret'), acknowledge) for name in names
+        PeerMesh(Identity(name, 'i', b'secret'), acknowledge, watches_ends=True)
+        for name in names
     ]
 
 
@@ -61,6 +62,13 @@
     await meshes[1].close()
 
 
+async def end_with_unread(meshes: list[PeerMesh], server: curio.Task) -> None:
+    """End a process as its kernel does: streams with unread bytes reset."""
+    busy = max(meshes[1].accepted, key=lambda each: each.bytes_received)
+    busy.reset_on_close = True
+    await end_process(meshes, server)
+
+
 async def close_link(meshes: list[PeerMesh], server: curio.Task) -> None:
     await server.cancel()
     await meshes[1].tasks.cancel_all()
@@ -99,6 +107,11 @@
     curio.run(link_and_end, context.meshes, end_process)
 
 
+@when('the process of the second ends with messages unread')
+def step_process_ends_unread(context: Context) -> None:
+    curio.run(link_and_end, context.meshes, end_with_unread)
+
+
 @when('the second closes the link and new connections are refused')
 def step_link_closed(context: Context) -> None:
     curio.run(link_and_end, context.meshes, close_link)
@@ -137,7 +150,7 @@
             while True:
                 near, _ = await listener.accept()
                 far = await curio.open_connection('127.0.0.1', self.port)
-                self.open = [near, far]
+                self.open += [near, far]
                 await curio.spawn(self.carry, near, far, True, daemon=True)
                 await curio.spawn(self.carry, far, near, False, daemon=True)
 
--- a/packages/turmericyard-node/src/turmericyard_node/application.py
+++ b/packages/turmericyard-node/src/turmericyard_node/application.py
@@ -70,7 +70,10 @@
     def __post_init__(self) -> None:
         """Join the parts that refer to the application."""
         self.mesh = PeerMesh(
-            self.identity, self.receive, self.settings.node.peer_source
+            self.identity,
+            self.receive,
+            self.settings.node.peer_source,
+            watches_ends=True,
         )
         self.permits = create_permit_service(self)
         self.candidates = CandidateBook(self)
--- a/packages/turmericyard-node/src/turmericyard_node/peers/mesh.py
+++ b/packages/turmericyard-node/src/turmericyard_node/peers/mesh.py
@@ -11,7 +11,6 @@
 import curio
 from returns.result import Failure, Result, Success
 
-from turmericyard_http.clock import boot_seconds
 from turmericyard_http.tasks import BackgroundTasks
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.peers.channel import (
@@ -19,22 +18,17 @@
     Channel,
     ChannelClosed,
     accept_channel,
-    connect_channel,
 )
+from turmericyard_node.peers.dialler import DIAL_ERRORS, Dialler, Traffic
 from turmericyard_node.peers.endings import PeerEndings
-from turmericyard_node.peers.handshake import (
-    authenticate_accepted,
-    authenticate_dialled,
-)
+from turmericyard_node.peers.handshake import authenticate_accepted
 from turmericyard_node.peers.identity import Identity
 from turmericyard_node.peers.link import PeerLink
 from turmericyard_protocol.codec import Envelope, decode, encode
 from turmericyard_protocol.errors import PeerError, PeerUnreachable
 
-DIAL_TIMEOUT_SECONDS = 0.5
 HANDSHAKE_TIMEOUT_SECONDS = 2
 REQUEST_TIMEOUT_SECONDS = 0.5
-DIAL_ERRORS = (OSError, ChannelClosed, curio.TaskTimeout)
 
 Receiver = Callable[[Any, str], Awaitable[Any]]
 
@@ -45,7 +39,10 @@
 
     `stopping` says that this process does nothing more that a permit or a
     loan allows; the end of its streams may then show its end. Connections
-    leave from the IP address `source`.
+    leave from the IP address `source`. With `watches_ends` each peer has a
+    lifeline: a second connection on which this node sends nothing after the
+    handshake. The kernel resets the streams of a killed process on which bytes
+    were unread, which proves nothing; the lifeline has none and ends in order.
     """
 
     identity: Identity
@@ -57,9 +54,20 @@
     accepted: set[Channel] = field(default_factory=set)
     tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
     endings: PeerEndings = field(default_factory=PeerEndings)
+    watches_ends: bool = False
+    lifelines: dict[str, PeerLink] = field(default_factory=dict)
     stopping: bool = False
-    retired_bytes: int = 0
-    retired_frames: int = 0
+    traffic: Traffic = field(default_factory=Traffic)
+    dialler: Dialler = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Let the dialler work with the same endings and counts."""
+        self.dialler = Dialler(
+            self.identity,
+            self.source,
+            self.endings,
+            self.traffic,
+        )
 
     async def request(
         self,
@@ -84,7 +92,7 @@
         """Close the link to a peer; the next message dials again."""
         link = self.links.pop(node, None)
         if link is not None:
-            self.retire(link.channel)
+            self.traffic.retire(link.channel)
             await link.close()
 
     async def link_to(self, node: str) -> PeerLink | None:
@@ -100,53 +108,40 @@
             return await self.dial(node)
 
     async def dial(self, node: str) -> PeerLink | None:
-        """Open and authenticate a link; None when that fails."""
-        address = self.addresses.get(node)
-        if address is None:
-            return None
-        try:
-            async with curio.timeout_after(DIAL_TIMEOUT_SECONDS):
-                channel = await connect_channel(address, self.source)
-        except ConnectionRefusedError:
-            self.endings.refused(node, boot_seconds())
-            return None
-        except DIAL_ERRORS:
-            return None
-        self.endings.connected(node)
-        link = await self.authenticate(node, channel)
+        """Open a link for messages to a peer; None when that fails."""
+        link = await self.dialler.open_link(node, self.addresses.get(node))
         if link is None:
-            self.retire(channel)
-            await channel.close()
             return None
-        self.replace_link(node, link)
-        await self.tasks.spawn(link.read_replies)
-        return link
-
-    def replace_link(self, node: str, link: PeerLink) -> None:
-        """Use a new link; what its closed predecessor sent stays counted."""
         earlier = self.links.get(node)
         if earlier is not None:
-            self.retire(earlier.channel)
+            self.traffic.retire(earlier.channel)
         self.links[node] = link
+        await self.tasks.spawn(link.read_replies)
+        if self.watches_ends:
+            await self.open_lifeline(node, link.incarnation)
+        return link
+
+    async def open_lifeline(self, node: str, incarnation: str) -> None:
+        """Open a connection that only shows a peer's end, unless there is one.
 
-    async def authenticate(
-        self, node: str, channel: Channel
-    ) -> PeerLink | None:
-        """Return the link when the peer is the node that was dialled."""
+        A lifeline that is lost opens again with the next link to the peer.
+        """
+        earlier = self.lifelines.get(node)
+        if earlier is not None and earlier.incarnation == incarnation:
+            return
+        lifeline = await self.dialler.open_link(node, self.addresses.get(node))
+        if lifeline is not None:
+            self.lifelines[node] = lifeline
+            await self.tasks.spawn(self.hold_lifeline, lifeline)
+
+    async def hold_lifeline(self, lifeline: PeerLink) -> None:
+        """Wait for the end of a lifeline."""
         try:
-            async with curio.timeout_after(DIAL_TIMEOUT_SECONDS):
-                peer = await authenticate_dialled(channel, self.identity)
-        except DIAL_ERRORS:
-            return None
-        if not isinstance(peer, Success):
-            log_event(Event.PEER_REFUSED, message=peer.failure().message)
-            return None
-        found = peer.unwrap()
-        if found.node != node:
-            return None
-        return PeerLink(
-            node, found.incarnation, channel, self.endings.stream_ended
-        )
+            await lifeline.read_replies()
+        finally:
+            self.traffic.retire(lifeline.channel)
+            if self.lifelines.get(lifeline.node) is lifeline:
+                self.lifelines.pop(lifeline.node)
 
     async def serve(self, listener: Any) -> None:
         """Accept peers until cancelled."""
@@ -167,7 +162,7 @@
             if isinstance(peer, Success):
                 await self.answer_channel(channel, peer.unwrap().node)
             else:
-                self.retire(channel)
+                self.traffic.retire(channel)
                 log_event(Event.PEER_REFUSED, message=peer.failure().message)
 
     async def answer_channel(self, channel: Channel, node: str) -> None:
@@ -183,7 +178,7 @@
 
     async def end_accepted(self, channel: Channel) -> None:
         """Close a channel that its own task has read to the end."""
-        self.retire(channel)
+        self.traffic.retire(channel)
         if not self.stopping:
             await channel.say_goodbye()
         await channel.close()
@@ -213,27 +208,22 @@
         except (OSError, ChannelClosed):
             return
 
-    def retire(self, channel: Channel) -> None:
-        """Count the bytes and messages of a channel that ends."""
-        self.retired_bytes += channel.bytes_sent
-        self.retired_frames += channel.frames_sent
-
     def sent_bytes(self) -> int:
         """Return all bytes sent to peers since the start."""
         open_bytes = sum(channel.bytes_sent for channel in self.open_channels())
-        return self.retired_bytes + open_bytes
+        return self.traffic.bytes_sent + open_bytes
 
     def sent_messages(self) -> int:
         """Return all messages sent to peers since the start."""
         open_frames = sum(
             channel.frames_sent for channel in self.open_channels()
         )
-        return self.retired_frames + open_frames
+        return self.traffic.frames_sent + open_frames
 
     def open_channels(self) -> list[Channel]:
         """Return the channels to and from all peers."""
-        dialled = (link.channel for link in self.links.values())
-        return [*dialled, *self.accepted]
+        links = (*self.links.values(), *self.lifelines.values())
+        return [*(link.channel for link in links), *self.accepted]
 
     async def close(self) -> None:
         """Close every link and end every task; the process acts no more."""
