Soak the forwarding node as real processes; let SIGHUP wait for the start

Change: features/support/fleet_soak runs node processes against the stand-ins of store and runners, behind links that are cut, stalled, slow, one-way or silent; nodes are killed, paused, ended, ended then killed, all killed at once, told of new settings; the store fails, loses answers, drops history and records; runners end, leave with notice, hand their address on, answer wrongly; configurations and keys change. Sixteen promises are checked from what clients, runners and logs show. Links learn the modes one-way and slow. The node ignores SIGHUP until it follows signals and then reads its settings again.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(wildcard packages/*),$(CURDIR)/$(p)/src)$(space)$(CURDIR)/platform):$(CURDIR)/features
 export PYTHONHASHSEED := 0
 
-.PHONY: setup env lint format test demo soak bench capacity ci clean
+.PHONY: setup env lint format test demo soak fleet-soak bench capacity ci clean
 
 # A VENV named on the command line is used as it is.
 ifeq ($(origin VENV),command line)
@@ -50,6 +50,10 @@
 soak: setup
 	$(PY) -m turmericyard_bench.soak --seed $(SEED) --minutes $(MINUTES)
 
+NODES ?= 4
+fleet-soak: setup
+	$(PY) -m support.fleet_soak --seed $(SEED) --minutes $(MINUTES) --nodes $(NODES)
+
 demo: setup
 	$(PY) -m turmericyard_bench.demo
 
--- /dev/null
+++ b/features/forwarding/soak.feature
@@ -0,0 +1,11 @@
+Feature: Failures that come together break no promise of a forwarding node
+
+  Scenario Outline: One round of failures drawn by seed <seed>
+    When a soak of forwarding nodes runs one round with seed <seed>
+    Then the seed's failures are the same when drawn again
+    And every promise of the soak held
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
--- a/features/steps/bench_soak_steps.py
+++ b/features/steps/bench_soak_steps.py
@@ -16,20 +16,19 @@
 
 @when('a soak of one round runs with seed {seed:d}')
 def step_soak(context: Context, seed: int) -> None:
-    context.seed = seed
     context.results = run_soak(
         context.launcher, EXAMPLE.absolute(), seed, SECONDS
     )
+    context.drawn = [
+        [failure.name for failure in draw_failures(random.Random(seed))]
+        for _ in range(2)
+    ]
+    assert len(context.drawn[0]) in {2, 3}
 
 
 @then("the seed's failures are the same when drawn again")
 def step_same(context: Context) -> None:
-    drawn = [
-        [failure.name for failure in draw_failures(random.Random(context.seed))]
-        for _ in range(2)
-    ]
-    assert drawn[0] == drawn[1]
-    assert len(drawn[0]) in {2, 3}
+    assert context.drawn[0] == context.drawn[1]
 
 
 @then('every invariant of the soak held')
--- /dev/null
+++ b/features/steps/forwarding_command_steps.py
@@ -0,0 +1,22 @@
+"""Steps for the process of a forwarding node."""
+
+from behave import then, when
+from behave.runner import Context
+
+from turmericyard_node.forwarding.command import EXIT_SETTINGS
+
+START_SECONDS = 20
+
+
+@when('a node is told of new settings while it starts without any')
+def step_early_signal(context: Context) -> None:
+    context.process = context.launcher.start(
+        'node',
+        'turmericyard_node.main',
+        ('--adapter', 'support.early_signal'),
+    )
+
+
+@then('its process ends with the status for wrong settings')
+def step_status(context: Context) -> None:
+    assert context.process.wait(START_SECONDS) == EXIT_SETTINGS
--- /dev/null
+++ b/features/steps/forwarding_soak_steps.py
@@ -0,0 +1,26 @@
+"""Steps for the soak of forwarding nodes as real processes."""
+
+import random
+
+from behave import then, when
+from behave.runner import Context
+
+from support.fleet_soak.__main__ import run_soak
+from support.fleet_soak.faults import PER_ROUND, draw_faults
+
+
+@when('a soak of forwarding nodes runs one round with seed {seed:d}')
+def step_soak(context: Context, seed: int) -> None:
+    context.broken = run_soak(context.launcher, seed, seconds=0)
+    context.drawn = [
+        [fault.name for fault in draw_faults(random.Random(seed))]
+        for _ in range(2)
+    ]
+
+
+@then('every promise of the soak held')
+def step_held(context: Context) -> None:
+    broken = {name: found for name, found in context.broken.items() if found}
+    assert not broken, broken
+    fewest, most = PER_ROUND
+    assert fewest <= len(context.drawn[0]) <= most
--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from turmericyard_http.clock import boot_seconds
 from turmericyard_http.messages import OpaqueResponse, Request, json_response
 
 SEAL = (b'x-turmericyard-response-seal', b'seal')
@@ -38,6 +39,10 @@
     faults_left: int = 1_000_000
     peers: dict[str, 'FleetRunner'] = field(default_factory=dict)
     arrivals: list[dict[str, str]] = field(default_factory=list)
+    #: When each of the arrivals came, in seconds since the boot.
+    arrived_at: list[float] = field(default_factory=list)
+    #: Attempts of streams that began here and not from a copy.
+    begun: list[str] = field(default_factory=list)
     ran: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     runs: dict[str, Made] = field(default_factory=dict)
@@ -52,6 +57,7 @@
             return json_response(200, {})
         headers = dict(request.headers)
         self.arrivals.append(headers)
+        self.arrived_at.append(boot_seconds())
         attempt = headers['x-turmericyard-attempt-id']
         echo = (b'x-turmericyard-attempt-id', attempt.encode())
         fault = self.take_fault()
@@ -106,6 +112,8 @@
                 not_run = (b'x-turmericyard-not-executed', b'1')
                 return OpaqueResponse(503, (echo, not_run))
             begin = int(headers['last-event-id'])
+        else:
+            self.begun.append(attempt)
         run = Made(attempt, begin, self.length)
         self.runs[attempt] = run
         self.ran.append(attempt)
--- a/features/support/fleet/store.py
+++ b/features/support/fleet/store.py
@@ -2,7 +2,9 @@
 
 import base64
 import json
+from collections.abc import Iterator
 from dataclasses import dataclass, field
+from itertools import count
 from typing import Any
 
 import curio
@@ -38,6 +40,7 @@
     history: list[tuple[int, str, bytes | None]] = field(default_factory=list)
     kept_from: int = 0
     leases: dict[int, int] = field(default_factory=dict)
+    lease_numbers: Iterator[int] = field(default_factory=lambda: count(1))
     mode: str = ''
     lose_writes: bool = False
     #: Watches hear nothing; their empty answers still name the revision.
@@ -92,7 +95,7 @@
         if path == '/-/kv-txn':
             return self.transact(body)
         if path == '/-/kv-lease':
-            number = len(self.leases) + 1
+            number = next(self.lease_numbers)
             self.leases[number] = body['ttlMs']
             return json_response(200, {'lease': number, 'ttlMs': body['ttlMs']})
         number = int(path.rpartition('/')[2])
--- a/packages/turmericyard-bench/src/turmericyard_bench/launch.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/launch.py
@@ -113,9 +113,16 @@
     starts: int = 0
 
     def start(
-        self, name: str, module: str, arguments: Sequence[str] = ()
+        self,
+        name: str,
+        module: str,
+        arguments: Sequence[str] = (),
+        variables: Mapping[str, str] | None = None,
     ) -> RunningProcess:
-        """Start `python -m module`; does not wait for the ready line."""
+        """Start `python -m module`; does not wait for the ready line.
+
+        `variables` are added to the environment.
+        """
         self.starts += 1
         log = self.directory / f'{name}.{self.starts}.log'
         with log.open('ab') as output:
@@ -125,7 +132,11 @@
                 stdout=output,
                 stderr=subprocess.STDOUT,
                 cwd=self.directory,
-                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+                env={
+                    **os.environ,
+                    'PYTHONUNBUFFERED': '1',
+                    **(variables or {}),
+                },
             )
         running = RunningProcess(name, popen, log)
         earlier = self.processes.pop(name, None)
--- a/packages/turmericyard-bench/src/turmericyard_bench/standins/link.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/standins/link.py
@@ -2,14 +2,15 @@
 
 Modes of the control port, `POST /control {"mode": m}`: `open` relays;
 `cut` closes every connection and refuses new ones; `stalled` keeps every
-connection and carries nothing; `silent` leaves the connections of that
-moment silent for good while new ones work.
+connection and carries nothing; `one-way` carries nothing back to the side
+that connected; `slow` holds up each piece for `SLOW_SECONDS`; `silent` leaves
+the connections of that moment silent for good while new ones work.
 
 `{"sources": {IP: m}}` gives connections from an IP address a mode of their
-own, `open`, `cut` or `stalled`; the sources not named have the link's mode.
+own, any but `silent`; the sources not named have the link's mode.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from contextlib import suppress
 from dataclasses import dataclass, field
 from functools import partial
@@ -29,8 +30,13 @@
 
 RECEIVE_BYTES = 65_536
 TICK_SECONDS = 0.05
-SOURCE_MODES = ('open', 'cut', 'stalled')
+#: How long a slow link holds up each piece, in seconds.
+SLOW_SECONDS = 0.2
+SOURCE_MODES = ('open', 'cut', 'stalled', 'one-way', 'slow')
 MODES = (*SOURCE_MODES, 'silent')
+#: Modes in which nothing goes to the target, and nothing comes back.
+HELD_ONWARD = frozenset(('stalled',))
+HELD_BACK = frozenset(('stalled', 'one-way'))
 FAULTS = ('mode', 'sources')
 
 
@@ -102,21 +108,25 @@
         self.relays.add(relay)
         try:
             async with curio.TaskGroup(wait=any) as ways:
-                await ways.spawn(self.pump, relay, near, far)
-                await ways.spawn(self.pump, relay, far, near)
+                await ways.spawn(self.pump, relay, near, far, HELD_ONWARD)
+                await ways.spawn(self.pump, relay, far, near, HELD_BACK)
         finally:
             self.relays.discard(relay)
 
-    def is_held(self, relay: Relay) -> bool:
+    def is_held(self, relay: Relay, modes: Set[str]) -> bool:
         """Return whether the relay carries nothing now."""
-        return relay.silent or self.mode_of(relay.source) == 'stalled'
+        return relay.silent or self.mode_of(relay.source) in modes
 
-    async def pump(self, relay: Relay, source: Any, sink: Any) -> None:
-        """Carry one direction."""
+    async def pump(
+        self, relay: Relay, source: Any, sink: Any, held: Set[str]
+    ) -> None:
+        """Carry one direction; in the modes `held` nothing passes."""
         with suppress(OSError):
             piece = await source.recv(RECEIVE_BYTES)
             while piece:
-                while self.is_held(relay):
+                if self.mode_of(relay.source) == 'slow':
+                    await curio.sleep(SLOW_SECONDS)
+                while self.is_held(relay, held):
                     await curio.sleep(TICK_SECONDS)
                 await sink.sendall(piece)
                 piece = await source.recv(RECEIVE_BYTES)
@@ -126,17 +136,25 @@
     """Serve both ports until cancelled; prints `ready PORT CONTROL_PORT`."""
     listener = open_listener(LOOPBACK, port)
     control = open_listener(LOOPBACK, control_port)
-    relays = BackgroundTasks()
     control_task = await curio.spawn(
         serve_http, control, partial(handle_control, link)
     )
     click.echo(f'ready {listener_port(listener)} {listener_port(control)}')
+    try:
+        await accept_all(link, listener)
+    finally:
+        await control_task.cancel()
+
+
+async def accept_all(link: Link, listener: Any) -> None:
+    """Relay each connection of the listener until cancelled."""
+    relays = BackgroundTasks()
     try:
         while True:
             near, (source, _) = await listener.accept()
             await relays.spawn(carry_quietly, link, near, source)
     finally:
-        await control_task.cancel()
+        await relays.cancel_all()
 
 
 async def carry_quietly(link: Link, near: Any, source: str) -> None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/command.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/command.py
@@ -48,8 +48,12 @@
 
 
 async def serve(application: ForwardingApplication) -> None:
-    """Start, follow signals and end at the first stop signal."""
+    """Start, follow signals and end at the first stop signal.
+
+    Settings that changed before signals were followed are taken over first.
+    """
     wakeup = watch_signals((*STOP_SIGNALS, signal.SIGHUP))
+    reload_settings(application)
     await application.start()
     async with wakeup:
         while (await wakeup.recv(1))[0] == signal.SIGHUP:
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -43,6 +43,7 @@
     'node/cold_start.feature': 55,
     'node/quarantine.feature': 50,
     'bench/workers.feature': 45,
+    'forwarding/soak.feature': 40,
 }
 
 
