Let hubs place copies too and keep the sums to themselves

Nested data classes went as maps with their field names, 100 bytes a sum. Ruled out: store items (60 KB of 316), members, prompts and streams. Change: nodes ask a hub for places of copies and backups as for generations; a hub counts each place given until the node tells of it; updates carry no sums. A hub adds beats to its sums as they come, where it summed all beats for each place. When the first hub does not answer the second one is asked, and a hub that was passed over is not the first again until it is heard. Nested data classes are lists under a CBOR tag; the protocol's version is 2. Own records are renewed every 5 s (3 s) and last 15 s (10 s).

--- /dev/null
+++ b/features/steps/forwarding_hub_places_steps.py
@@ -0,0 +1,133 @@
+"""Steps for the places that hubs give."""
+
+from collections import Counter
+from typing import Any
+
+import curio
+from behave import then, when
+from behave.runner import Context
+from hypothesis import given as given_drawn
+from hypothesis import seed, settings
+from hypothesis import strategies as drawn
+
+from support.fleet.scenario import PROMPT, run
+from support.fleet.world import World
+from turmericyard_node.forwarding.hub import GRANT_SECONDS, Hub
+from turmericyard_node.forwarding.load_book import Total
+from turmericyard_protocol.fleet_messages import (
+    CopyPlaceRequest,
+    EndpointUse,
+    FleetBeat,
+)
+
+SEED = 1
+HANG_SECONDS = 1000
+
+
+@when(
+    'a hub is asked for {count:d} places of copies of {tokens:d} tokens'
+    ' from one engine'
+)
+def step_copies(context: Context, count: int, tokens: int) -> None:
+    async def scenario(world: World) -> None:
+        fleet = world.nodes['n-0'].fleet
+        need = CopyPlaceRequest('engines', 'a', tokens, 1.0, ('i-0',))
+        replies = [
+            await fleet.answer_copy_place(need, 'n-1') for _ in range(count)
+        ]
+        context.named = [reply.endpoint for reply in replies]
+
+    run(context, scenario)
+
+
+@then('each of the other engines was named {count:d} times')
+def step_shared(context: Context, count: int) -> None:
+    named = Counter(filter(None, context.named))
+    assert named == dict.fromkeys(('i-1', 'i-2', 'i-3'), count), named
+
+
+@then('the last copy found no room')
+def step_full(context: Context) -> None:
+    assert not context.named[-1]
+
+
+@when('a client asks for a stream while the first hub answers no peer')
+def step_mute_hub(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        hubs = world.nodes['n-0'].fleet.hubs.names
+        asker = next(name for name in world.nodes if name not in hubs)
+        first, context.second = hubs
+
+        async def hang(_payload: Any, _sender: str) -> None:
+            await curio.sleep(HANG_SECONDS)
+
+        world.nodes[first].fleet.mesh.receiver = hang
+        context.answer = await world.ask(asker, '/stream/a', 'at-1', **PROMPT)
+        context.granted = len(world.nodes[context.second].fleet.hub.granted)
+
+    run(context, scenario)
+
+
+@then('the second hub had placed it')
+def step_second(context: Context) -> None:
+    assert context.answer.whole, context.answer.error
+    assert context.granted == 1, context.granted
+
+
+USES = drawn.builds(
+    EndpointUse,
+    drawn.sampled_from(('e-1', 'e-2', 'e-3')),
+    *[drawn.integers(0, 3) for _ in range(5)],
+)
+STEPS = drawn.lists(
+    drawn.tuples(
+        drawn.sampled_from(('beat', 'silence', 'grant', 'time')),
+        drawn.sampled_from(('n-1', 'n-2')),
+        drawn.lists(USES, max_size=3),
+    ),
+    max_size=20,
+)
+
+
+def sums(uses: list[EndpointUse]) -> dict[str, Total]:
+    found: dict[str, Total] = {}
+    for use in uses:
+        found.setdefault(use.identity, Total()).count(use, 1)
+    return {key: total for key, total in found.items() if total != Total()}
+
+
+@when('{count:d} drawn histories of beats, silences and grants reach a hub')
+def step_histories(context: Context, count: int) -> None:
+    context.histories = 0
+
+    def play(steps: list[Any]) -> None:
+        now = 0.0
+        hub = Hub(None, None, None, lambda: now)  # type: ignore[arg-type]
+        told: dict[str, list[EndpointUse]] = {}
+        open_grants: list[tuple[float, EndpointUse]] = []
+        for kind, node, uses in steps:
+            if kind == 'beat':
+                hub.take(node, FleetBeat(0, 0, True, tuple(uses)))
+                told[node] = uses
+            elif kind == 'silence':
+                hub.forget(node)
+                told.pop(node, None)
+            elif kind == 'grant' and uses:
+                hub.grant(uses[0])
+                open_grants.append((now + GRANT_SECONDS, uses[0]))
+            elif kind == 'time':
+                now += GRANT_SECONDS
+                hub.expire_grants()
+                open_grants = [each for each in open_grants if each[0] >= now]
+            expected = [use for each in told.values() for use in each]
+            expected.extend(use for _, use in open_grants)
+            assert hub.others == sums(expected), (hub.others, expected)
+        context.histories += 1
+
+    checked = settings(max_examples=count, deadline=None, database=None)
+    seed(SEED)(checked(given_drawn(STEPS)(play)))()
+
+
+@then('its sums were always those of the last beats and open grants')
+def step_sums(context: Context) -> None:
+    assert context.histories >= 100
--- a/features/steps/forwarding_streams_steps.py
+++ b/features/steps/forwarding_streams_steps.py
@@ -21,6 +21,7 @@
 
 
 @given('a world with {count:d} engines and {nodes:d} node')
+@given('a world with {count:d} engines and {nodes:d} nodes')
 def step_engines(context: Context, count: int, nodes: int) -> None:
     context.build = partial(build, 'engines', count, nodes)
     context.prepare = []
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -52,6 +52,7 @@
         fleet.size,
     )
     fleet.place_for = placer.place_for
+    fleet.copy_place_for = placer.place_copy
     instruments = create_instruments()
     room = WaitingRoom(
         Placement(fleet, placer, boot_seconds), boot_seconds, instruments
@@ -102,7 +103,7 @@
     instruments = room.instruments
     sender = Sender(border, settings.bounds, fleet, boot_seconds, instruments)
     book = RunBook(loads)
-    continuer = Continuer(sender, room.placement.placer, loads, boot_seconds)
+    continuer = Continuer(sender, room.placement, loads, boot_seconds)
     streams = StreamForwarder(
         border,
         sender,
@@ -124,7 +125,7 @@
         boot_seconds,
     )
     return intake, Mover(
-        border, room.placement.placer, loads, book, boot_seconds, instruments
+        border, room.placement, loads, book, boot_seconds, instruments
     )
 
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/continuer.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/continuer.py
@@ -8,7 +8,7 @@
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.load_book import LoadBook, Use
 from turmericyard_node.forwarding.passage import Passage
-from turmericyard_node.forwarding.placer import Placer
+from turmericyard_node.forwarding.placement import Placement
 from turmericyard_node.forwarding.runs import Run
 from turmericyard_node.forwarding.sending import Sender
 from turmericyard_ports.request import Continuation
@@ -24,7 +24,7 @@
     """Chooses backups, and continues runs whose endpoint has ended."""
 
     sender: Sender
-    placer: Placer
+    placement: Placement
     loads: LoadBook
     clock: Clock
 
@@ -34,7 +34,7 @@
         if run.job.seconds_left(self.clock()) <= 0:
             return False
         for endpoint, copied in self.continuations(run):
-            if not self.placer.knowledge.may_continue(endpoint):
+            if not self.placement.placer.knowledge.may_continue(endpoint):
                 continue
             if await self.continue_at(run, endpoint, copied):
                 log_event(
@@ -76,7 +76,7 @@
         self, run: Run, endpoint: Endpoint, copied: Continuation
     ) -> bool:
         """Open the rest of a run's stream at an endpoint."""
-        backup = self.choose_backup(run.job, endpoint)
+        backup = await self.choose_backup(run.job, endpoint)
         seconds = min(CONTINUE_SECONDS, run.job.seconds_left(self.clock()))
         sent = await self.sender.send(
             run.job, endpoint, seconds, backup=backup, copied=copied
@@ -111,14 +111,14 @@
         run.splice.restart()
         run.refresh_use()
 
-    def choose_backup(self, job: Job, place: Endpoint) -> Endpoint | None:
+    async def choose_backup(self, job: Job, place: Endpoint) -> Endpoint | None:
         """Return the endpoint that keeps a running copy, if any."""
         engine = job.service.engine
         if engine is None or not engine.can_back_up:
             return None
         if job.likely_output() < BACKUP_TOKENS:
             return None
-        return self.placer.place_copy(job, job.memory_tokens(), place)
+        return await self.placement.place_copy(job, job.memory_tokens(), place)
 
     def lend(self, job: Job, backup: Endpoint | None) -> Use | None:
         """Count the memory of a backup."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/discovery.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/discovery.py
@@ -13,8 +13,9 @@
 
 SEED_TIMEOUT_SECONDS = 0.5
 SEED_INTERVAL_SECONDS = 1.0
-#: Time between renewals of the own record, in seconds.
-RENEW_SECONDS = 3.0
+#: Time between renewals of the own record, in seconds: two may fail within
+#: the record's life.
+RENEW_SECONDS = 5.0
 MEMBERS_PATH = '/members'
 
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -28,6 +28,8 @@
 from turmericyard_node.members import Member, Membership
 from turmericyard_node.peers.mesh import PeerMesh
 from turmericyard_protocol.fleet_messages import (
+    CopyPlaceRequest,
+    EndpointUse,
     FleetBeat,
     HubUpdate,
     PlaceReply,
@@ -56,6 +58,7 @@
     is_ready: Callable[[], bool]
     #: Chooses places for other nodes.
     place_for: Callable[[PlaceRequest], Endpoint | None] | None = None
+    copy_place_for: Callable[[CopyPlaceRequest], Endpoint | None] | None = None
 
     @property
     def own(self) -> Member:
@@ -114,7 +117,7 @@
             async with curio.TaskGroup() as group:
                 for node in self.hubs.others():
                     await group.spawn(self.exchange, node)
-            self.take_own_sums()
+            self.hub.expire_grants()
             self.knowledge.book.expire(self.clock())
             await sleep_to_tick(BEAT_SECONDS)
 
@@ -140,12 +143,6 @@
                 async with curio.ignore_after(REPLY_SECONDS):
                     await self.mesh.send(node, self.beat(node))
 
-    def take_own_sums(self) -> None:
-        """Go by the own sums while this node is the first hub."""
-        if self.hubs.first() == self.own.node:
-            self.loads.fleet = self.hub.add_up()
-            self.loads.note_told()
-
     async def observe(self, node: str, update: HubUpdate) -> None:
         """Take over what a hub tells; after a gap, ask for everything.
 
@@ -167,8 +164,6 @@
         told.sequence = max(told.sequence, update.sequence)
         if update.members:
             told.members = dict(update.members)
-        if node == self.hubs.first():
-            self.loads.observe(update)
         if told.store_age < STALE_SECONDS:
             self.contact.heard_store(told.at - told.store_age)
         self.observe_items(update)
@@ -219,15 +214,36 @@
         self, payload: PlaceRequest, _sender: str
     ) -> PlaceReply:
         """Return the place of another node's generation."""
-        self.loads.fleet = self.hub.add_up()
-        self.loads.note_told()
+        self.hub.expire_grants()
         place = self.place_for(payload) if self.place_for else None
         if place is None:
             return PlaceReply('')
-        self.hub.grant(place.identity, payload)
+        self.hub.grant(
+            EndpointUse(
+                place.identity,
+                1,
+                payload.prompt_tokens,
+                payload.tokens,
+                payload.prompt_tokens,
+                0,
+            )
+        )
         place.cold_rate.spend(self.clock())
         return PlaceReply(place.identity)
 
+    @answer.register
+    async def answer_copy_place(
+        self, payload: CopyPlaceRequest, _sender: str
+    ) -> PlaceReply:
+        """Return the place of another node's copy."""
+        self.hub.expire_grants()
+        place = self.copy_place_for(payload) if self.copy_place_for else None
+        if place is None:
+            return PlaceReply('')
+        lent = EndpointUse(place.identity, 0, 0, 0, 0, payload.tokens)
+        self.hub.grant(lent)
+        return PlaceReply(place.identity)
+
     @answer.register
     async def answer_view(
         self, payload: ViewItemsRequest, sender: str
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
@@ -16,7 +16,7 @@
 from turmericyard_ports.settings import ForwardingSettings
 
 #: How long a record outlives its node, in seconds.
-MEMBER_TTL_SECONDS = 10.0
+MEMBER_TTL_SECONDS = 15.0
 #: The mesh needs no secret where the platform closes its network.
 OPEN_NETWORK_SECRET = b'turmericyard'
 
@@ -47,14 +47,15 @@
         receive_nothing,
         settings.peers.rpartition(':')[0],
     )
-    loads = LoadBook()
+    hub = Hub(mesh, contact, knowledge, boot_seconds)
+    loads = LoadBook(hub.others)
     fleet = Fleet(
         membership,
         contact,
         mesh,
         knowledge,
         loads,
-        Hub(mesh, contact, knowledge, loads, boot_seconds),
+        hub,
         HubChoice(membership, boot_seconds),
         boot_seconds,
         is_not_ready,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -1,10 +1,12 @@
-"""The hub's side: sums what nodes tell and tells all of them what changed.
+"""The hub's side: keeps what nodes run and tells all of them what changed.
 
 Any node is a hub for those that beat to it. Updates carry a sequence number;
-a node that missed one asks for everything with its next beat.
+a node that missed one asks for everything with its next beat. What the nodes
+run is not told on: they ask a hub for places.
 """
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from functools import partial
 
@@ -16,17 +18,12 @@
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.contact import Contact
 from turmericyard_node.forwarding.knowledge import Knowledge
-from turmericyard_node.forwarding.load_book import (
-    LoadBook,
-    Total,
-    in_use,
-)
+from turmericyard_node.forwarding.load_book import NOTHING, Total
 from turmericyard_node.peers.mesh import PeerMesh
 from turmericyard_protocol.fleet_messages import (
     EndpointUse,
     FleetBeat,
     HubUpdate,
-    PlaceRequest,
     StoreItem,
 )
 
@@ -48,14 +45,18 @@
 
 @dataclass(slots=True)
 class Hub:
-    """What this node knows as a hub; `heard` has each node's last beat."""
+    """What this node knows as a hub; `heard` has each node's last beat.
+
+    `others` are the sums by endpoint of what those nodes run, and of places
+    given that they have not told of yet.
+    """
 
     mesh: PeerMesh
     contact: Contact
     knowledge: Knowledge
-    loads: LoadBook
     clock: Clock
     heard: dict[str, tuple[float, FleetBeat]] = field(default_factory=dict)
+    others: dict[str, Total] = field(default_factory=dict)
     #: Grows with each update; starts above that of any process before.
     sequence: int = 0
     #: The sequence at the last looks, the oldest first.
@@ -66,7 +67,6 @@
     missed: set[str] = field(default_factory=set)
     #: Revision of the store up to which nodes were told.
     revision: int = 0
-    sums: dict[str, EndpointUse] = field(default_factory=dict)
     members: tuple[tuple[str, bool], ...] = ()
     items: list[StoreItem] = field(default_factory=list)
     #: Places given, until the nodes' beats tell of them.
@@ -79,7 +79,23 @@
 
     def take(self, node: str, beat: FleetBeat) -> None:
         """Take in what a node tells."""
+        self.forget(node)
         self.heard[node] = (self.clock(), beat)
+        self.count(beat.use, 1)
+
+    def forget(self, node: str) -> None:
+        """Count what a node told no more."""
+        _, beat = self.heard.pop(node, (0, None))
+        if beat is not None:
+            self.count(beat.use, -1)
+
+    def count(self, uses: Iterable[EndpointUse], times: int) -> None:
+        """Add uses to the sums, or take them off with -1 times."""
+        for use in uses:
+            total = self.others.setdefault(use.identity, Total())
+            total.count(use, times)
+            if total == NOTHING:
+                self.others.pop(use.identity)
 
     def answer(self, node: str, beat: FleetBeat) -> HubUpdate:
         """Return the reply to a beat: all when the node missed something.
@@ -91,7 +107,7 @@
         if missed or beat.sequence > self.sequence:
             self.missed.discard(node)
             return self.whole()
-        nothing_new = self.update(whole=False, use=(), members=(), items=())
+        nothing_new = self.update(whole=False, members=(), items=())
         return replace(nothing_new, sequence=beat.sequence, revision=0)
 
     def settled(self) -> int:
@@ -102,7 +118,6 @@
         """Return everything that the hub knows."""
         return self.update(
             whole=True,
-            use=tuple(self.sums.values()),
             members=self.members,
             items=tuple(
                 StoreItem(entry.key, entry.value, entry.revision)
@@ -118,7 +133,6 @@
         self,
         *,
         whole: bool,
-        use: tuple[EndpointUse, ...],
         members: tuple[tuple[str, bool], ...],
         items: tuple[StoreItem, ...],
     ) -> HubUpdate:
@@ -129,7 +143,6 @@
             self.sequence,
             whole,
             members,
-            use,
             self.knowledge.view.revision if whole else self.told_revision(),
             int(age * MILLISECONDS),
             self.knowledge.book.has_failed(now),
@@ -159,15 +172,14 @@
 
     async def push(self) -> None:
         """Send what changed since the last update, if anything did."""
-        use = self.changed_sums()
         members = self.changed_members()
         items = tuple(self.items)
         self.items.clear()
         self.revision = self.knowledge.view.revision
-        if not (use or members or items):
+        if not (members or items):
             return
         self.sequence += 1
-        update = self.update(whole=False, use=use, members=members, items=items)
+        update = self.update(whole=False, members=members, items=items)
         async with curio.TaskGroup() as group:
             for node in tuple(self.heard):
                 await group.spawn(self.send, node, update)
@@ -184,48 +196,17 @@
         if not isinstance(sent, Success):
             self.missed.add(node)
 
-    def changed_sums(self) -> tuple[EndpointUse, ...]:
-        """Return the sums that changed and remember all."""
-        now = self.add_up()
-        gone = [
-            EndpointUse(identity, 0, 0, 0, 0, 0)
-            for identity in self.sums.keys() - now.keys()
-        ]
-        changed = [use for key, use in now.items() if self.sums.get(key) != use]
-        self.sums = now
-        return (*changed, *gone)
-
-    def grant(self, identity: str, need: PlaceRequest) -> None:
+    def grant(self, use: EndpointUse) -> None:
         """Count a place that was given to another node."""
-        use = EndpointUse(
-            identity,
-            1,
-            need.prompt_tokens,
-            need.tokens,
-            need.prompt_tokens,
-            0,
-        )
         self.granted.append((self.clock() + GRANT_SECONDS, use))
+        self.count((use,), 1)
 
     def expire_grants(self) -> None:
         """Count places no more that the nodes tell of by now."""
         now = self.clock()
         while self.granted and self.granted[0][0] < now:
-            self.granted.popleft()
-
-    def add_up(self) -> dict[str, EndpointUse]:
-        """Return the sums over all nodes, this one included."""
-        self.expire_grants()
-        totals: dict[str, Total] = {}
-        for _, beat in self.heard.values():
-            for use in beat.use:
-                totals.setdefault(use.identity, Total()).add_peer(use)
-        for _, granted in self.granted:
-            totals.setdefault(granted.identity, Total()).add_peer(granted)
-        for identity, own in self.loads.own_totals().items():
-            if own.memory_tokens or own.lent_tokens:
-                totals.setdefault(identity, Total()).merge(own)
-        return {key: in_use(key, each) for key, each in totals.items()}
+            _, use = self.granted.popleft()
+            self.count((use,), -1)
 
     def changed_members(self) -> tuple[tuple[str, bool], ...]:
         """Return all live members if any of them changed."""
@@ -244,5 +225,5 @@
         oldest = self.clock() - LIVE_SECONDS
         for node, (at, _) in tuple(self.heard.items()):
             if at < oldest:
-                self.heard.pop(node)
+                self.forget(node)
                 self.missed.discard(node)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub_choice.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub_choice.py
@@ -65,17 +65,23 @@
         """Return whether this node is one of its own hubs."""
         return self.membership.own.node in self.names
 
-    def first(self) -> str | None:
-        """Return the hub whose sums count."""
-        return self.names[0] if self.names else None
+    def by_preference(self) -> list[str]:
+        """Return the hubs to ask, this node or one that is heard first."""
+        own = self.membership.own.node
+        return sorted(
+            self.names, key=lambda node: node != own and not self.hears(node)
+        )
+
+    def hears(self, node: str) -> bool:
+        """Return whether a hub told something lately."""
+        told = self.news.get(node)
+        return told is not None and self.clock() - told.at < LIVE_SECONDS
 
     def primary(self) -> HubNews | None:
         """Return the news of the first hub that is heard."""
-        now = self.clock()
         for node in self.names:
-            told = self.news.get(node)
-            if told is not None and now - told.at < LIVE_SECONDS:
-                return told
+            if self.hears(node):
+                return self.news[node]
         return None
 
     def in_trouble(self, *, failed: bool) -> bool:
@@ -84,11 +90,8 @@
         Each tells of its own calls only, so that trouble ends when it ends.
         `failed` says whether this node's own calls failed lately.
         """
-        now = self.clock()
         signs = [
-            told.trouble
-            for told in self.news.values()
-            if now - told.at < LIVE_SECONDS
+            told.trouble for node, told in self.news.items() if self.hears(node)
         ]
         if self.follows_store():
             signs.append(failed)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/load_book.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/load_book.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from turmericyard_protocol.fleet_messages import EndpointUse, HubUpdate
+from turmericyard_protocol.fleet_messages import EndpointUse
 
 #: Tokens are told to other nodes in steps of this size.
 TOKEN_STEP = 128
@@ -49,21 +49,13 @@
         self.unread_tokens += other.unread_tokens
         self.lent_tokens += other.lent_tokens
 
-    def subtract(self, other: 'Total') -> None:
-        """Take another sum off; nothing goes below zero."""
-        self.running = max(0, self.running - other.running)
-        self.held_tokens = max(0, self.held_tokens - other.held_tokens)
-        self.memory_tokens = max(0, self.memory_tokens - other.memory_tokens)
-        self.unread_tokens = max(0, self.unread_tokens - other.unread_tokens)
-        self.lent_tokens = max(0, self.lent_tokens - other.lent_tokens)
-
-    def add_peer(self, use: EndpointUse) -> None:
-        """Add what a peer told."""
-        self.running += use.running
-        self.held_tokens += use.held_tokens
-        self.memory_tokens += use.memory_tokens
-        self.unread_tokens += use.unread_tokens
-        self.lent_tokens += use.lent_tokens
+    def count(self, use: EndpointUse, times: int) -> None:
+        """Add what a peer told, or take it off with -1 times."""
+        self.running += times * use.running
+        self.held_tokens += times * use.held_tokens
+        self.memory_tokens += times * use.memory_tokens
+        self.unread_tokens += times * use.unread_tokens
+        self.lent_tokens += times * use.lent_tokens
 
 
 #: No use at all.
@@ -72,15 +64,13 @@
 
 @dataclass(slots=True)
 class LoadBook:
-    """Own uses, and the sums over all nodes that a hub told.
+    """Own uses, and those that other nodes told this node of, as a hub.
 
-    `told` are the own totals as the hub's sums have them; `news` is set when
-    a use begins.
+    `news` is set when a use begins.
     """
 
+    others: dict[str, Total] = field(default_factory=dict)
     own: set[Use] = field(default_factory=set)
-    fleet: dict[str, EndpointUse] = field(default_factory=dict)
-    told: dict[str, Total] = field(default_factory=dict)
     news: curio.Event = field(default_factory=curio.Event)
 
     def begin(self, use: Use) -> Use:
@@ -99,13 +89,6 @@
             use.identity == identity and not use.lent for use in self.own
         )
 
-    def observe(self, update: HubUpdate) -> None:
-        """Take over a hub's sums over all nodes."""
-        if update.whole:
-            self.fleet = {}
-        for use in update.use:
-            self.fleet[use.identity] = use
-
     def own_totals(self) -> dict[str, Total]:
         """Return what this node runs at each endpoint."""
         totals: dict[str, Total] = {}
@@ -114,31 +97,18 @@
         return totals
 
     def totals(self) -> dict[str, Total]:
-        """Return what the fleet runs at each endpoint.
-
-        The own part of the hub's sums is replaced by what runs here now.
-        """
+        """Return what this node and the others that it hears of run."""
         totals = self.own_totals()
-        for identity, use in self.fleet.items():
-            others = Total()
-            others.add_peer(use)
-            others.subtract(self.told.get(identity, NOTHING))
-            totals.setdefault(identity, Total()).merge(others)
+        for identity, use in self.others.items():
+            totals.setdefault(identity, Total()).merge(use)
         return totals
 
-    def note_told(self) -> None:
-        """Remember the own totals that the sums contain from now on."""
-        self.told = {
-            identity: total
-            for identity, total in self.own_totals().items()
-            if total.memory_tokens or total.lent_tokens
-        }
-
     def tell(self) -> tuple[EndpointUse, ...]:
-        """Return the own totals for the hubs."""
-        self.note_told()
+        """Return the own totals for the hubs, without those of plain calls."""
         return tuple(
-            in_use(identity, total) for identity, total in self.told.items()
+            in_use(identity, total)
+            for identity, total in self.own_totals().items()
+            if total.memory_tokens or total.lent_tokens
         )
 
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
@@ -17,7 +17,7 @@
 from turmericyard_node.forwarding.endpoint_book import Endpoint
 from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.load_book import LoadBook, Use
-from turmericyard_node.forwarding.placer import Placer
+from turmericyard_node.forwarding.placement import Placement
 from turmericyard_node.forwarding.runs import Run, RunBook, RunCopy
 from turmericyard_ports.border import Border
 
@@ -39,7 +39,7 @@
     """Keeps copies of the runs of endpoints that leave."""
 
     border: Border
-    placer: Placer
+    placement: Placement
     loads: LoadBook
     book: RunBook
     clock: Clock
@@ -81,13 +81,14 @@
     async def copy(self, run: Run) -> None:
         """Copy a run, or bring its copy up to date."""
         source = run.place
-        holder = self.choose_holder(run)
+        holder = await self.choose_holder(run)
         if run.ended:
             return
         if holder is None:
             self.log(run, None, 0, 'no room elsewhere')
             return
         use = self.loads.begin(Use(holder.identity, run.tokens(), lent=True))
+        await self.loads.news.set()
         started_at = self.clock()
         copied = await self.border.copy_run(
             source.record.address,
@@ -123,7 +124,7 @@
             detail=detail,
         )
 
-    def choose_holder(self, run: Run) -> Endpoint | None:
+    async def choose_holder(self, run: Run) -> Endpoint | None:
         """Return the endpoint for a run's copy, the same one as before.
 
         One that had no room for it is asked again after all others.
@@ -131,7 +132,7 @@
         now = self.clock()
         if run.copy is not None and run.copy.holder.usable(now):
             return run.copy.holder
-        found = self.placer.place_copy(
+        found = await self.placement.place_copy(
             run.job, run.tokens(), run.place, run.unfit, COPY_SHARE
         )
         if found is None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
@@ -1,20 +1,27 @@
-"""Places generations through the first hub, which sees all placements.
+"""Places generations and copies through a hub, which sees all placements.
 
-Nodes that chose by sums that are a moment old would choose the same endpoint
-together. Without a hub that answers, a node chooses by itself.
+Nodes that chose by themselves would choose the same endpoint together, and
+would not know what the others run. Without a hub that answers, a node chooses
+by what it runs itself.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from returns.result import Success
 
+from turmericyard_decisions.seats import BACKUP_SHARE
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.endpoint_book import Endpoint
 from turmericyard_node.forwarding.fleet import Fleet
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.placer import Placer, need_of
-from turmericyard_protocol.fleet_messages import PlaceReply
+from turmericyard_protocol.fleet_messages import (
+    CopyPlaceRequest,
+    PlaceReply,
+    PlaceRequest,
+)
 
 #: How long a hub has for its answer, in seconds: a round trip between zones
 #: takes a few milliseconds.
@@ -23,7 +30,7 @@
 
 @dataclass(slots=True)
 class Placement:
-    """Finds the place of a request."""
+    """Finds the places of requests and of copies."""
 
     fleet: Fleet
     placer: Placer
@@ -31,36 +38,73 @@
 
     async def place(self, job: Job) -> Endpoint | None:
         """Return the endpoint for a request, None when none has room."""
-        hub = self.fleet.hubs.first()
-        if job.service.engine is None or hub is None:
+        if job.service.engine is None:
             return self.placer.place(job)
-        if hub == self.fleet.own.node:
-            self.fleet.take_own_sums()
-            return self.placer.place(job)
-        return await self.ask(hub, job)
-
-    async def ask(self, hub: str, job: Job) -> Endpoint | None:
-        """Return the endpoint that a hub names, or the own choice."""
         now = self.clock()
-        book = self.placer.knowledge.book
         need = need_of(job, self.placer.zone)
-        reply = await self.fleet.mesh.request(hub, need, HUB_SECONDS)
-        if not isinstance(reply, Success):
+        reply = await self.ask_hubs(need)
+        if reply is None:
             return self.placer.place(job)
-        named = reply.unwrap()
-        if not isinstance(named, PlaceReply) or not named.endpoint:
+        if not reply.endpoint:
             return None
-        endpoint = book.endpoints.get(named.endpoint)
+        endpoint = self.known(reply)
         if endpoint is None or endpoint.evidence.aside(now):
             return self.placer.place(job)
-        if not endpoint.usable(now):
-            return self.placer.place(job)
         log_event(
             Event.REQUEST_PLACED,
             attempt=job.attempt,
             endpoint=endpoint.identity,
-            hub=hub,
             seconds=round(self.clock() - now, 4),
             prompt=need.prompt_tokens,
         )
         return endpoint
+
+    async def place_copy(
+        self,
+        job: Job,
+        tokens: float,
+        source: Endpoint,
+        unfit: Collection[str] = (),
+        share: float = BACKUP_SHARE,
+    ) -> Endpoint | None:
+        """Return the endpoint for a copy of a run, None without room.
+
+        Those that are `unfit`, by identity, are left out.
+        """
+        need = CopyPlaceRequest(
+            job.service.name,
+            source.record.zone,
+            int(tokens),
+            share,
+            (source.identity, *unfit),
+        )
+        reply = await self.ask_hubs(need)
+        if reply is None:
+            return self.placer.place_copy(need)
+        return self.known(reply)
+
+    async def ask_hubs(
+        self, need: PlaceRequest | CopyPlaceRequest
+    ) -> PlaceReply | None:
+        """Return the answer of the first hub that gives one.
+
+        None where this node is the first hub itself, or none answers.
+        """
+        for hub in self.fleet.hubs.by_preference():
+            if hub == self.fleet.own.node:
+                self.fleet.hub.expire_grants()
+                return None
+            reply = await self.fleet.mesh.request(hub, need, HUB_SECONDS)
+            if isinstance(reply, Success):
+                named = reply.unwrap()
+                if isinstance(named, PlaceReply):
+                    return named
+        return None
+
+    def known(self, reply: PlaceReply) -> Endpoint | None:
+        """Return the endpoint that a hub named, if it may be used."""
+        book = self.placer.knowledge.book
+        endpoint = book.endpoints.get(reply.endpoint)
+        if endpoint is None or not endpoint.usable(self.clock()):
+            return None
+        return endpoint
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
@@ -1,11 +1,10 @@
 """Turns what is known into places for requests and for copies of runs."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
 from turmericyard_decisions.seats import (
-    BACKUP_SHARE,
     Seat,
     choose_copy_seat,
     choose_seat,
@@ -19,7 +18,10 @@
 from turmericyard_node.forwarding.load_book import LoadBook, Total
 from turmericyard_ports.configuration import Service
 from turmericyard_ports.settings import Bounds
-from turmericyard_protocol.fleet_messages import PlaceRequest
+from turmericyard_protocol.fleet_messages import (
+    CopyPlaceRequest,
+    PlaceRequest,
+)
 
 #: Parts of a cold endpoint's bound: for what a hub places, and for what all
 #: nodes place by themselves.
@@ -84,26 +86,22 @@
             prompt=int(job.prompt_tokens()),
         )
 
-    def place_copy(
-        self,
-        job: Job,
-        tokens: float,
-        source: Endpoint,
-        unfit: Collection[str] = (),
-        share: float = BACKUP_SHARE,
-    ) -> Endpoint | None:
-        """Return the endpoint for a copy of a run, None without room.
-
-        Those that are `unfit`, by identity, are left out.
-        """
+    def place_copy(self, need: CopyPlaceRequest) -> Endpoint | None:
+        """Return the endpoint for a copy of a run, None without room."""
+        service = self.knowledge.service(need.service)
+        if service is None:
+            return None
         candidates = {
             endpoint.identity: endpoint
-            for endpoint in self.knowledge.endpoints(job.service.name)
-            if endpoint is not source and endpoint.identity not in unfit
+            for endpoint in self.knowledge.endpoints(need.service)
+            if endpoint.identity not in need.avoided
         }
-        seats = self.seats(job.service, candidates)
         chosen = choose_copy_seat(
-            seats, tokens, source.record.zone, self.random, share
+            self.seats(service, candidates),
+            need.tokens,
+            need.zone,
+            self.random,
+            need.share,
         )
         return candidates[chosen.identity] if chosen else None
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -65,11 +65,11 @@
 
     async def begin(self, job: Job, place: Endpoint) -> Answer | NotRun:
         """Send the request to an endpoint and open its stream."""
+        backup = await self.continuer.choose_backup(job, place)
         prompt = job.prompt_tokens()
         use = self.loads.begin(
             Use(place.identity, prompt, job.memory_tokens(), prompt)
         )
-        backup = self.continuer.choose_backup(job, place)
         backup_use = self.continuer.lend(job, backup)
         await self.loads.news.set()
         kept = False
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/codec.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/codec.py
@@ -1,14 +1,16 @@
 """CBOR encoding of messages; decoding checks every field.
 
 A frame is `[type number, correlation id, field, ...]`. Correlation id 0 is a
-notice; a positive one a request; a negative one the reply to it.
+notice; a positive one a request; a negative one the reply to it. A data class
+inside a field is the list of its fields under `PARTS_TAG`.
 """
 
-from dataclasses import asdict, dataclass, fields
+from dataclasses import dataclass, fields
 from typing import Any
 
 import cbor2
 from pydantic import TypeAdapter, ValidationError
+from pydantic_core import ArgsKwargs
 from returns.result import Failure, Result, Success
 
 from turmericyard_protocol.errors import MalformedMessage
@@ -17,6 +19,8 @@
 #: Longest frame accepted from a peer, in bytes.
 MAX_FRAME_BYTES = 2_097_152
 HEADER_ITEMS = 2
+#: CBOR tag of a nested data class, of the tags that are free for any use.
+PARTS_TAG = 40_101
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,9 +32,8 @@
 
 
 TYPE_NUMBERS = {kind: number for number, kind in MESSAGE_TYPES.items()}
-FIELD_NAMES = {
-    kind: tuple(each.name for each in fields(kind)) for kind in TYPE_NUMBERS
-}
+#: Fields of the data classes seen so far.
+FIELD_NAMES: dict[type[Any], tuple[str, ...]] = {}
 ADAPTERS = {kind: TypeAdapter(kind) for kind in TYPE_NUMBERS}
 
 
@@ -38,13 +41,28 @@
     """Return the frame of a registered message."""
     kind = type(payload)
     frame = [TYPE_NUMBERS[kind], correlation]
-    frame.extend(getattr(payload, name) for name in FIELD_NAMES[kind])
+    frame.extend(getattr(payload, name) for name in field_names(kind))
     return cbor2.dumps(frame, default=encode_dataclass)
 
 
 def encode_dataclass(encoder: Any, value: Any) -> None:
-    """Encode a nested data class as a map."""
-    encoder.encode(asdict(value))
+    """Encode a nested data class."""
+    parts = [getattr(value, name) for name in field_names(type(value))]
+    encoder.encode(cbor2.CBORTag(PARTS_TAG, parts))
+
+
+def field_names(kind: type[Any]) -> tuple[str, ...]:
+    """Return the names of a data class's fields in their order."""
+    if kind not in FIELD_NAMES:
+        FIELD_NAMES[kind] = tuple(each.name for each in fields(kind))
+    return FIELD_NAMES[kind]
+
+
+def decode_tag(tag: cbor2.CBORTag, _immutable: bool) -> Any:
+    """Return the parts of a nested data class as its arguments."""
+    if tag.tag == PARTS_TAG and isinstance(tag.value, list | tuple):
+        return ArgsKwargs(tuple(tag.value))
+    return tag
 
 
 def decode(frame: bytes) -> Result[Envelope, MalformedMessage]:
@@ -52,7 +70,7 @@
     if len(frame) > MAX_FRAME_BYTES:
         return Failure(MalformedMessage('frame too long'))
     try:
-        loaded = cbor2.loads(frame)
+        loaded = cbor2.loads(frame, tag_hook=decode_tag)
     except Exception as error:  # noqa: BLE001  cbor2 passes on many kinds
         return Failure(MalformedMessage(f'CBOR: {type(error).__name__}'))
     if not is_frame(loaded):
@@ -77,7 +95,7 @@
     kind = MESSAGE_TYPES.get(number)
     if kind is None:
         return Failure(MalformedMessage(f'unknown type {number}'))
-    names = FIELD_NAMES[kind]
+    names = field_names(kind)
     if len(names) != len(parts):
         return Failure(MalformedMessage(f'{kind.__name__}: field count'))
     try:
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -49,15 +49,14 @@
     """What a hub knows, whole or since its update before.
 
     `members` are the nodes that it hears and whether clients may be sent to
-    them; `use` are the changed sums over all nodes; `items` the changed items
-    of the store at `revision`. `store_age_ms` is the time since the store
-    answered the hub, `trouble` whether the store failed it lately.
+    them; `items` the changed items of the store at `revision`. `store_age_ms`
+    is the time since the store answered the hub, `trouble` whether the store
+    failed it lately.
     """
 
     sequence: int
     whole: bool
     members: tuple[tuple[str, bool], ...]
-    use: tuple[EndpointUse, ...]
     revision: int
     store_age_ms: int
     trouble: bool
@@ -93,8 +92,23 @@
     avoided: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class CopyPlaceRequest:
+    """Asks a hub where a copy of a run in `zone` fits.
+
+    `share` is the part of an endpoint's memory that may be taken after it.
+    `avoided` are the run's own endpoint and those that had no room.
+    """
+
+    service: str
+    zone: str
+    tokens: int
+    share: float
+    avoided: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class PlaceReply:
-    """The endpoint of a generation, empty when none has room."""
+    """The endpoint of a generation or a copy, empty when none has room."""
 
     endpoint: str
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/message_types.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/message_types.py
@@ -40,4 +40,5 @@
     43: fleet_messages.HubUpdate,
     44: fleet_messages.PlaceRequest,
     45: fleet_messages.PlaceReply,
+    46: fleet_messages.CopyPlaceRequest,
 }
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/messages.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 #: Raised when the meaning of a message changes.
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
 @dataclass(frozen=True, slots=True)
