Ask clients back later while the store answers nobody

Clients come back once or twice only. Ruled out: holding them: nothing says that the store is back in their time. Change: while the store answers neither this node nor its hubs, Retry-After is 2 s, spread from 0.8 to 1.3 of it, so that they do not come together either; otherwise 0.5 s spread alike. Before: requests.feature, changed to ask for 1.5 to 3 s, failed; after: passed. The scenario now waits until the node knows of the outage.

--- a/features/forwarding/requests.feature
+++ b/features/forwarding/requests.feature
@@ -27,7 +27,7 @@
     Given a world whose store is down and 1 node
     When a client asks it before it knows a configuration
     Then the answer has status 503
-    And the answer says when to come back
+    And the answer says to come back in 1.5 to 3 seconds
 
   Scenario: A client that leaves takes its request along
     Given a world with 1 plain endpoints and 1 node
--- a/features/steps/forwarding_requests_steps.py
+++ b/features/steps/forwarding_requests_steps.py
@@ -104,7 +104,8 @@
 def step_down(context: Context, nodes: int) -> None:
     async def unready(world: World) -> None:
         world.store.mode = 'busy'
-        await world.add_node('n-0')
+        node = await world.add_node('n-0')
+        await world.until(node.knowledge.book.in_trouble)
 
     context.build = unready
     context.prepare = []
@@ -118,6 +119,11 @@
     run(context, scenario)
 
 
+@then('the answer says to come back in {low:g} to {high:g} seconds')
+def step_return_between(context: Context, low: float, high: float) -> None:
+    assert low <= float(context.answer.headers['retry-after']) <= high
+
+
 @when('a client closes its connection while its {what} runs')
 def step_leave(context: Context, what: str) -> None:
     async def scenario(world: World) -> None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/intake.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/intake.py
@@ -15,6 +15,7 @@
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.knowledge import Knowledge
 from turmericyard_node.forwarding.streams import StreamForwarder
+from turmericyard_node.forwarding.waiting import RETURN_SPREAD
 from turmericyard_ports.border import Border
 from turmericyard_ports.configuration import (
     Kind,
@@ -29,6 +30,9 @@
 UNAVAILABLE = 503
 #: When a client is asked back whose route may be too new to be known here.
 RETURN_SECONDS = 0.5
+#: The same while the store answers nobody: outages last for seconds, and most
+#: clients come back once only.
+OUTAGE_RETURN_SECONDS = 2.0
 #: A view that neither store nor peers confirmed for so long may miss a new
 #: route or key, in seconds.
 STALE_SECONDS = 2.0
@@ -131,9 +135,15 @@
         if status != UNAVAILABLE and self.is_stale():
             status = UNAVAILABLE
         if status == UNAVAILABLE:
-            return self.border.refusal(status, detail, RETURN_SECONDS)
+            return self.border.refusal(status, detail, self.return_seconds())
         return self.border.refusal(status, detail)
 
+    def return_seconds(self) -> float:
+        """Return when a refused client is asked back."""
+        in_trouble = self.knowledge.book.in_trouble()
+        seconds = OUTAGE_RETURN_SECONDS if in_trouble else RETURN_SECONDS
+        return seconds * self.random.uniform(*RETURN_SPREAD)
+
     def is_stale(self) -> bool:
         """Return whether the view may miss news."""
         heard = max(self.contact.store_at, self.contact.last_peer_at)
