Call the store less: longer records, calmer followers outside the hubs

Ruled out: the hubs' own watches (about 430) and readings of everything (18). A node that no other goes by pauses 0.5 s between watches, and its retries are those of a stand-in; alone in its fleet it follows as a hub.

--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -70,7 +70,7 @@
             knowledge,
             boot_seconds,
             fleet.hubs.follows_store,
-            fleet.hubs.is_hub,
+            partial(is_relied_on, fleet),
         ),
         fleet,
         discovery,
@@ -129,6 +129,11 @@
     )
 
 
+def is_relied_on(fleet: Fleet) -> bool:
+    """Return whether others go by this node's view, or it is alone."""
+    return bool(fleet.hub.heard) or fleet.size() == 1
+
+
 def store_fails(hubs: HubChoice, knowledge: Knowledge) -> bool:
     """Return whether the store answers neither this node nor its hubs."""
     return hubs.in_trouble(failed=knowledge.book.has_failed(boot_seconds()))
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/discovery.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/discovery.py
@@ -15,7 +15,7 @@
 SEED_INTERVAL_SECONDS = 1.0
 #: Time between renewals of the own record, in seconds: two may fail within
 #: the record's life.
-RENEW_SECONDS = 5.0
+RENEW_SECONDS = 8.0
 MEMBERS_PATH = '/members'
 
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
@@ -16,7 +16,7 @@
 from turmericyard_ports.settings import ForwardingSettings
 
 #: How long a record outlives its node, in seconds.
-MEMBER_TTL_SECONDS = 15.0
+MEMBER_TTL_SECONDS = 25.0
 #: The mesh needs no secret where the platform closes its network.
 OPEN_NETWORK_SECRET = b'turmericyard'
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
@@ -25,6 +25,10 @@
 #: Pause between watches, in seconds: endpoints renew their records all the
 #: time, and each answered watch is a paid call.
 PAUSE_SECONDS = 0.15
+#: The same at a node that nobody relies on, which follows the store while its
+#: hubs are out of reach: with a watch's answer still well inside the time in
+#: which a configuration must be in force (2 s).
+OWN_PAUSE_SECONDS = 0.5
 #: Pause after a failed call, in seconds; drawn from half to the whole.
 RETRY_SECONDS = 0.4
 RETRY_SPREAD = (0.5, 1.0)
@@ -41,8 +45,8 @@
 class Follower:
     """Follows the store where that is needed; else hubs tell the news.
 
-    `is_hub` says whether others rely on this node, `is_needed` whether it
-    must ask the store itself.
+    `is_relied_on` says whether others go by this node's view, `is_needed`
+    whether it must ask the store itself.
     """
 
     store: Store
@@ -50,7 +54,7 @@
     knowledge: Knowledge
     clock: Clock
     is_needed: Callable[[], bool]
-    is_hub: Callable[[], bool]
+    is_relied_on: Callable[[], bool]
     random: Random = field(default_factory=Random)
     loaded: bool = False
     list_at: float = 0
@@ -70,8 +74,8 @@
     def pause(self, *, followed: bool) -> float:
         """Return the time until the next call, in seconds."""
         if followed:
-            return PAUSE_SECONDS
-        longest = RETRY_SECONDS if self.is_hub() else STAND_IN_SECONDS
+            return PAUSE_SECONDS if self.is_relied_on() else OWN_PAUSE_SECONDS
+        longest = RETRY_SECONDS if self.is_relied_on() else STAND_IN_SECONDS
         return longest * self.random.uniform(*RETRY_SPREAD)
 
     async def load(self) -> bool:
