Share evidence of failing endpoints among nodes; place among drawn engines

Each of 68 nodes went by what its own requests met; a node meets one of 36 engines less than once in that time, so that nearly no engine was ever set aside. Ruled out: the weight and threshold of the evidence (it needs two failures in a row at one node); requests that fail everywhere (8% of look-ups): a run of four failures by chance is rare, therefore the lower weight of 0.2 where many nodes' answers count together. Change: beats carry counts of answers since the node's start, for 3 s after each change; hubs keep evidence by endpoint and zone of the asker (an endpoint may fail one zone only), place by it and tell nodes which are aside. Before: fleet_evidence.feature with the new check left out of the placer: 14 bookings at the failing endpoint (bound 9: half of two for each of five nodes and probes); after: passed.

--- a/features/steps/forwarding_hub_news_steps.py
+++ b/features/steps/forwarding_hub_news_steps.py
@@ -17,7 +17,7 @@
 def from_hub(
     sequence: int, revision: int, items: tuple[StoreItem, ...] = ()
 ) -> HubUpdate:
-    return HubUpdate(sequence, False, (), revision, 0, False, items)
+    return HubUpdate(sequence, False, (), None, revision, 0, False, items)
 
 
 def leaving_item(world: World, identity: str, revision: int) -> StoreItem:
--- a/features/steps/forwarding_hub_places_steps.py
+++ b/features/steps/forwarding_hub_places_steps.py
@@ -12,6 +12,7 @@
 
 from support.fleet.scenario import PROMPT, run
 from support.fleet.world import World
+from turmericyard_node.forwarding.answers import FleetEvidence
 from turmericyard_node.forwarding.hub import GRANT_SECONDS, Hub
 from turmericyard_node.forwarding.load_book import Total
 from turmericyard_protocol.fleet_messages import (
@@ -102,12 +103,12 @@
 
     def play(steps: list[Any]) -> None:
         now = 0.0
-        hub = Hub(None, None, None, lambda: now)  # type: ignore[arg-type]
+        hub = Hub(None, None, None, lambda: now, FleetEvidence(lambda: now))
         told: dict[str, list[EndpointUse]] = {}
         open_grants: list[tuple[float, EndpointUse]] = []
         for kind, node, uses in steps:
             if kind == 'beat':
-                hub.take(node, FleetBeat(0, 0, True, tuple(uses)))
+                hub.take(node, 'a', FleetBeat(0, 0, True, tuple(uses), ()))
                 told[node] = uses
             elif kind == 'silence':
                 hub.forget(node)
--- a/features/steps/forwarding_requests_steps.py
+++ b/features/steps/forwarding_requests_steps.py
@@ -28,6 +28,7 @@
     'turns requests away': 'full',
     'hangs': 'hang',
     'fail': 'error',
+    'fails': 'error',
     'break off their answers': 'reset',
     'leave their answers unsigned': 'unsigned',
     'answer another request': 'foreign',
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/outlier.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/outlier.py
@@ -1,14 +1,18 @@
 """Sets endpoints aside that fail by the evidence of real answers.
 
 A health check can be good while an endpoint fails, for some callers only, so
-that each node goes by what its own requests met. An endpoint that was set
-aside gets single requests again after a delay that doubles.
+that each node goes by what its own requests met, and the fleet by what those
+of a zone's nodes met. An endpoint that was set aside gets single requests
+again after a delay that doubles.
 """
 
 from dataclasses import dataclass
 
 #: Weight of the latest answer in the moving failure share.
 LATEST_WEIGHT = 0.3
+#: The same where many nodes' answers are counted together: single requests
+#: that fail everywhere must not set an endpoint aside.
+FLEET_WEIGHT = 0.2
 #: Failure share above which an endpoint is set aside.
 SET_ASIDE_SHARE = 0.5
 FIRST_DELAY_SECONDS = 1.0
@@ -22,12 +26,14 @@
     failure_share: float = 0
     delay_seconds: float = FIRST_DELAY_SECONDS
     aside_until: float = 0
+    latest_weight: float = LATEST_WEIGHT
 
     def observe(self, *, failed: bool, now: float) -> None:
         """Take an answer into account."""
-        self.failure_share += LATEST_WEIGHT * (failed - self.failure_share)
+        step = failed - self.failure_share
+        self.failure_share += self.latest_weight * step
         if not failed:
-            if self.failure_share < LATEST_WEIGHT:
+            if self.failure_share < self.latest_weight:
                 self.delay_seconds = FIRST_DELAY_SECONDS
             return
         if self.failure_share >= SET_ASIDE_SHARE:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -50,6 +50,7 @@
         settings.zone,
         boot_seconds,
         fleet.size,
+        partial(fails_zone, fleet),
     )
     fleet.place_for = placer.place_for
     fleet.copy_place_for = placer.place_copy
@@ -134,6 +135,14 @@
     return bool(fleet.hub.heard) or fleet.size() == 1
 
 
+def fails_zone(fleet: Fleet, identity: str, zone: str) -> bool:
+    """Return whether an endpoint fails a zone's nodes, as far as known."""
+    if fleet.hub.evidence.is_aside(identity, zone):
+        return True
+    told = fleet.hubs.primary()
+    return told is not None and (identity, zone) in told.aside
+
+
 def store_fails(hubs: HubChoice, knowledge: Knowledge) -> bool:
     """Return whether the store answers neither this node nor its hubs."""
     return hubs.in_trouble(failed=knowledge.book.has_failed(boot_seconds()))
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
@@ -100,7 +100,7 @@
             async with curio.timeout_after(max(0, ends_at - self.clock())):
                 body = await sent.read_all()
         except READ_ERRORS as error:
-            place.evidence.observe(failed=True, now=self.clock())
+            self.sender.fleet.tally.observe(place, failed=True)
             return Lost(repr(error))
         finally:
             await sent.close()
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -16,6 +16,7 @@
 from turmericyard_http.clock import Clock
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.contact import Contact
+from turmericyard_node.forwarding.answers import AnswerTally
 from turmericyard_node.forwarding.endpoint_book import Endpoint
 from turmericyard_node.forwarding.hub import MILLISECONDS, Hub
 from turmericyard_node.forwarding.hub_choice import (
@@ -52,6 +53,7 @@
     mesh: PeerMesh
     knowledge: Knowledge
     loads: LoadBook
+    tally: AnswerTally
     hub: Hub
     hubs: HubChoice
     clock: Clock
@@ -107,6 +109,7 @@
             self.knowledge.view.revision,
             self.is_ready(),
             self.loads.tell(),
+            self.tally.tell(),
         )
 
     async def run_beats(self) -> None:
@@ -118,6 +121,9 @@
                 for node in self.hubs.others():
                     await group.spawn(self.exchange, node)
             self.hub.expire_grants()
+            self.hub.evidence.take(
+                self.own.node, self.own.zone, self.tally.tell()
+            )
             self.knowledge.book.expire(self.clock())
             await sleep_to_tick(BEAT_SECONDS)
 
@@ -164,6 +170,8 @@
         told.sequence = max(told.sequence, update.sequence)
         if update.members:
             told.members = dict(update.members)
+        if update.aside is not None:
+            told.aside = frozenset(update.aside)
         if told.store_age < STALE_SECONDS:
             self.contact.heard_store(told.at - told.store_age)
         self.observe_items(update)
@@ -197,7 +205,9 @@
     @answer.register
     async def answer_beat(self, payload: FleetBeat, sender: str) -> HubUpdate:
         """Take in a beat as a hub."""
-        update = self.hub.answer(sender, payload)
+        update = self.hub.answer(
+            sender, self.membership.zone_of(sender), payload
+        )
         stale = self.clock() - self.contact.store_at > STALE_SECONDS
         if stale and payload.revision > self.knowledge.view.revision:
             await self.fetch_view(sender)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
@@ -5,6 +5,7 @@
 from turmericyard_clients.store import Store
 from turmericyard_http.clock import boot_seconds
 from turmericyard_node.contact import Contact
+from turmericyard_node.forwarding.answers import AnswerTally, FleetEvidence
 from turmericyard_node.forwarding.fleet import Fleet
 from turmericyard_node.forwarding.hub import Hub
 from turmericyard_node.forwarding.hub_choice import HubChoice
@@ -47,7 +48,8 @@
         receive_nothing,
         settings.peers.rpartition(':')[0],
     )
-    hub = Hub(mesh, contact, knowledge, boot_seconds)
+    evidence = FleetEvidence(boot_seconds)
+    hub = Hub(mesh, contact, knowledge, boot_seconds, evidence)
     loads = LoadBook(hub.others)
     fleet = Fleet(
         membership,
@@ -55,6 +57,7 @@
         mesh,
         knowledge,
         loads,
+        AnswerTally(boot_seconds),
         hub,
         HubChoice(membership, boot_seconds),
         boot_seconds,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -17,6 +17,7 @@
 from turmericyard_http.clock import Clock
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.contact import Contact
+from turmericyard_node.forwarding.answers import FleetEvidence
 from turmericyard_node.forwarding.knowledge import Knowledge
 from turmericyard_node.forwarding.load_book import NOTHING, Total
 from turmericyard_node.peers.mesh import PeerMesh
@@ -55,6 +56,7 @@
     contact: Contact
     knowledge: Knowledge
     clock: Clock
+    evidence: FleetEvidence
     heard: dict[str, tuple[float, FleetBeat]] = field(default_factory=dict)
     others: dict[str, Total] = field(default_factory=dict)
     #: Grows with each update; starts above that of any process before.
@@ -77,11 +79,12 @@
         """Keep a change of the store for the next update."""
         self.items.append(StoreItem(change.key, change.value, change.revision))
 
-    def take(self, node: str, beat: FleetBeat) -> None:
-        """Take in what a node tells."""
+    def take(self, node: str, zone: str, beat: FleetBeat) -> None:
+        """Take in what a node of a zone tells."""
         self.forget(node)
         self.heard[node] = (self.clock(), beat)
         self.count(beat.use, 1)
+        self.evidence.take(node, zone, beat.answers)
 
     def forget(self, node: str) -> None:
         """Count what a node told no more."""
@@ -97,17 +100,17 @@
             if total == NOTHING:
                 self.others.pop(use.identity)
 
-    def answer(self, node: str, beat: FleetBeat) -> HubUpdate:
+    def answer(self, node: str, zone: str, beat: FleetBeat) -> HubUpdate:
         """Return the reply to a beat: all when the node missed something.
 
         Updates of the last moment may still be under way to it.
         """
-        self.take(node, beat)
+        self.take(node, zone, beat)
         missed = node in self.missed or beat.sequence < self.settled()
         if missed or beat.sequence > self.sequence:
             self.missed.discard(node)
             return self.whole()
-        nothing_new = self.update(whole=False, members=(), items=())
+        nothing_new = self.update(whole=False, members=(), aside=None, items=())
         return replace(nothing_new, sequence=beat.sequence, revision=0)
 
     def settled(self) -> int:
@@ -119,6 +122,7 @@
         return self.update(
             whole=True,
             members=self.members,
+            aside=self.evidence.told_aside,
             items=tuple(
                 StoreItem(entry.key, entry.value, entry.revision)
                 for entry in self.knowledge.view.items.values()
@@ -134,6 +138,7 @@
         *,
         whole: bool,
         members: tuple[tuple[str, bool], ...],
+        aside: tuple[tuple[str, str], ...] | None,
         items: tuple[StoreItem, ...],
     ) -> HubUpdate:
         """Return an update with the state of the store."""
@@ -143,6 +148,7 @@
             self.sequence,
             whole,
             members,
+            aside,
             self.knowledge.view.revision if whole else self.told_revision(),
             int(age * MILLISECONDS),
             self.knowledge.book.has_failed(now),
@@ -176,10 +182,13 @@
         items = tuple(self.items)
         self.items.clear()
         self.revision = self.knowledge.view.revision
-        if not (members or items):
+        aside = self.evidence.changed_aside()
+        if not (members or items) and aside is None:
             return
         self.sequence += 1
-        update = self.update(whole=False, members=members, items=items)
+        update = self.update(
+            whole=False, members=members, aside=aside, items=items
+        )
         async with curio.TaskGroup() as group:
             for node in tuple(self.heard):
                 await group.spawn(self.send, node, update)
@@ -226,4 +235,5 @@
         for node, (at, _) in tuple(self.heard.items()):
             if at < oldest:
                 self.forget(node)
+                self.evidence.forget(node)
                 self.missed.discard(node)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub_choice.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub_choice.py
@@ -24,6 +24,7 @@
     at: float = float('-inf')
     sequence: int = 0
     members: dict[str, bool] = field(default_factory=dict)
+    aside: frozenset[tuple[str, str]] = frozenset()
     store_age: float = float('inf')
     #: Whether the store failed the hub itself lately.
     trouble: bool = False
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/load_book.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/load_book.py
@@ -96,13 +96,6 @@
             totals.setdefault(use.identity, Total()).add(use)
         return totals
 
-    def totals(self) -> dict[str, Total]:
-        """Return what this node and the others that it hears of run."""
-        totals = self.own_totals()
-        for identity, use in self.others.items():
-            totals.setdefault(identity, Total()).merge(use)
-        return totals
-
     def tell(self) -> tuple[EndpointUse, ...]:
         """Return the own totals for the hubs, without those of plain calls."""
         return tuple(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
@@ -1,6 +1,6 @@
 """Turns what is known into places for requests and for copies of runs."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from random import Random
 
@@ -15,7 +15,7 @@
 from turmericyard_node.forwarding.endpoint_book import Endpoint
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.knowledge import Knowledge
-from turmericyard_node.forwarding.load_book import LoadBook, Total
+from turmericyard_node.forwarding.load_book import NOTHING, LoadBook, Total
 from turmericyard_ports.configuration import Service
 from turmericyard_ports.settings import Bounds
 from turmericyard_protocol.fleet_messages import (
@@ -27,6 +27,8 @@
 #: nodes place by themselves.
 HUB_SHARE = 0.6
 LOCAL_SHARE = 0.4
+#: Endpoints among which one is chosen where a service has more.
+DRAWN = 64
 
 
 @dataclass(slots=True)
@@ -39,26 +41,44 @@
     zone: str
     clock: Clock
     fleet_size: Callable[[], int]
+    #: Whether an endpoint, by identity, fails the nodes of a zone.
+    is_aside: Callable[[str, str], bool]
     random: Random = field(default_factory=Random)
 
     def place(self, job: Job) -> Endpoint | None:
         """Return the endpoint for a request, None when none has room."""
         need = need_of(job, self.zone)
-        candidates = self.candidates(need, LOCAL_SHARE / self.fleet_size())
-        chosen = self.choose(job.service, need, candidates)
-        if chosen is None:
-            return None
-        self.log(job, chosen, len(candidates))
-        return candidates[chosen.identity]
+        share = LOCAL_SHARE / self.fleet_size()
+        for endpoints in self.draws(need.service):
+            candidates = self.candidates(endpoints, need, share)
+            chosen = self.choose(job.service, need, candidates)
+            if chosen is not None:
+                self.log(job, chosen, len(candidates))
+                return candidates[chosen.identity]
+        return None
 
     def place_for(self, need: PlaceRequest) -> Endpoint | None:
         """Return the endpoint for another node's generation, as a hub."""
         service = self.knowledge.service(need.service)
         if service is None:
             return None
-        candidates = self.candidates(need, HUB_SHARE)
-        chosen = self.choose(service, need, candidates)
-        return candidates[chosen.identity] if chosen else None
+        for endpoints in self.draws(need.service):
+            candidates = self.candidates(endpoints, need, HUB_SHARE)
+            chosen = self.choose(service, need, candidates)
+            if chosen is not None:
+                return candidates[chosen.identity]
+        return None
+
+    def draws(self, service: str) -> Iterator[list[Endpoint]]:
+        """Return some endpoints of a service, then all if they are more.
+
+        The best of a large draw is nearly as good as the best of all, and a
+        place costs the same in a fleet of any size.
+        """
+        listed = list(self.knowledge.endpoints(service))
+        if len(listed) > DRAWN:
+            yield self.random.sample(listed, DRAWN)
+        yield listed
 
     def choose(
         self,
@@ -91,31 +111,37 @@
         service = self.knowledge.service(need.service)
         if service is None:
             return None
-        candidates = {
-            endpoint.identity: endpoint
-            for endpoint in self.knowledge.endpoints(need.service)
-            if endpoint.identity not in need.avoided
-        }
-        chosen = choose_copy_seat(
-            self.seats(service, candidates),
-            need.tokens,
-            need.zone,
-            self.random,
-            need.share,
-        )
-        return candidates[chosen.identity] if chosen else None
+        for endpoints in self.draws(need.service):
+            candidates = {
+                endpoint.identity: endpoint
+                for endpoint in endpoints
+                if endpoint.identity not in need.avoided
+            }
+            chosen = choose_copy_seat(
+                self.seats(service, candidates),
+                need.tokens,
+                need.zone,
+                self.random,
+                need.share,
+            )
+            if chosen is not None:
+                return candidates[chosen.identity]
+        return None
 
     def candidates(
-        self, need: PlaceRequest, cold_share: float
+        self,
+        endpoints: list[Endpoint],
+        need: PlaceRequest,
+        cold_share: float,
     ) -> dict[str, Endpoint]:
-        """Return the endpoints that may get a request now.
+        """Return those of some endpoints that may get a request now.
 
         Those that failed lately are left out unless all of them did.
         """
         now = self.clock()
         found = {
             endpoint.identity: endpoint
-            for endpoint in self.knowledge.endpoints(need.service)
+            for endpoint in endpoints
             if endpoint.identity not in need.avoided
             and self.cold_allows(endpoint, cold_share, now)
         }
@@ -123,6 +149,7 @@
             identity: endpoint
             for identity, endpoint in found.items()
             if not endpoint.evidence.aside(now)
+            and not self.is_aside(identity, need.zone)
         }
         return sound or found
 
@@ -147,14 +174,15 @@
         Plain calls are over before other nodes hear of them: only the own
         ones count.
         """
-        totals = (
-            self.loads.totals() if service.engine else self.loads.own_totals()
-        )
+        own = self.loads.own_totals()
         capacity = service.engine.memory_tokens if service.engine else 0
-        return [
-            to_seat(endpoint, totals.get(identity, Total()), capacity)
-            for identity, endpoint in candidates.items()
-        ]
+        seats = []
+        for identity, endpoint in candidates.items():
+            total = own.get(identity, Total())
+            if service.engine:
+                total.merge(self.loads.others.get(identity, NOTHING))
+            seats.append(to_seat(endpoint, total, capacity))
+        return seats
 
 
 def to_seat(endpoint: Endpoint, total: Total, capacity: float) -> Seat:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -108,33 +108,32 @@
         self, job: Job, endpoint: Endpoint, opened: Result[Passage, HttpError]
     ) -> Passage | NotRun | Lost:
         """Return what an opened passage or its failure means."""
-        now = self.clock()
         if not isinstance(opened, Success):
-            return self.judge_failure(endpoint, opened, now)
+            return self.judge_failure(endpoint, opened)
         passage: Passage = opened.unwrap()
         head = passage.head
         verdict = self.border.judge_answer(job.arrival, head.status, head.lines)
         if verdict is Verdict.ANSWERED:
             failed = head.status >= FAILING
-            endpoint.evidence.observe(failed=failed, now=now)
+            self.fleet.tally.observe(endpoint, failed=failed)
             return passage
         await passage.close()
         if verdict is Verdict.FOREIGN:
-            endpoint.evidence.observe(failed=True, now=now)
+            self.fleet.tally.observe(endpoint, failed=True)
             return Lost('the answer belongs to another request')
         if verdict is Verdict.MISDIRECTED:
-            endpoint.evidence.observe_unreachable(now)
+            self.fleet.tally.observe_unreachable(endpoint)
         return NotRun(f'{verdict.value}, status {head.status}')
 
     def judge_failure(
-        self, endpoint: Endpoint, opened: Result[Passage, HttpError], now: float
+        self, endpoint: Endpoint, opened: Result[Passage, HttpError]
     ) -> NotRun | Lost:
         """Return what a failed exchange means."""
         error = opened.failure()
         if isinstance(error, NotSent):
-            endpoint.evidence.observe_unreachable(now)
+            self.fleet.tally.observe_unreachable(endpoint)
             return NotRun(error.detail)
-        endpoint.evidence.observe(failed=True, now=now)
+        self.fleet.tally.observe(endpoint, failed=True)
         return Lost(error.detail)
 
 
--- a/packages/turmericyard-node/src/turmericyard_node/members.py
+++ b/packages/turmericyard-node/src/turmericyard_node/members.py
@@ -69,6 +69,11 @@
     members: dict[str, Member] = field(default_factory=dict)
     lease: str = ''
 
+    def zone_of(self, node: str) -> str:
+        """Return the zone of a member, empty for a node that is not known."""
+        member = self.members.get(node)
+        return member.zone if member else ''
+
     async def run(self) -> None:
         """Keep the own record and refresh the others until cancelled."""
         refresh_at = self.clock()
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -20,19 +20,35 @@
     lent_tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointAnswers:
+    """Answers that a node got of an endpoint since the node's start.
+
+    `unreachable` counts requests for which no connection was made, or which
+    another endpoint got.
+    """
+
+    identity: str
+    good: int
+    failed: int
+    unreachable: int
+
+
 @dataclass(frozen=True, slots=True)
 class FleetBeat:
     """What a forwarding node tells its hubs.
 
     `sequence` is that of the last update that it has of the hub, `revision`
     that of its view of the store, `taking` whether clients may be sent to it,
-    `use` what it runs at each endpoint.
+    `use` what it runs at each endpoint, `answers` the counts that changed
+    lately.
     """
 
     sequence: int
     revision: int
     taking: bool
     use: tuple[EndpointUse, ...]
+    answers: tuple[EndpointAnswers, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +65,8 @@
     """What a hub knows, whole or since its update before.
 
     `members` are the nodes that it hears and whether clients may be sent to
-    them; `items` the changed items of the store at `revision`. `store_age_ms`
+    them; `aside` the endpoints that fail the nodes of a zone, as pairs of
+    endpoint and zone, None when unchanged; `items` the changed items of the store at `revision`. `store_age_ms`
     is the time since the store answered the hub, `trouble` whether the store
     failed it lately.
     """
@@ -57,6 +74,7 @@
     sequence: int
     whole: bool
     members: tuple[tuple[str, bool], ...]
+    aside: tuple[tuple[str, str], ...] | None
     revision: int
     store_age_ms: int
     trouble: bool
