Count evidence of endpoints over all zones as well

Evidence by endpoint and zone needs four failures for each of 55 pairs of lying engine and zone; the five seconds bring about one each. Ruled out: beats that come too late (two a second, engines lie for 5 s). Change: evidence is kept for all zones together beside that of each zone; an engine's latest answer weighs 0.3 (two failures in a row), a plain service's 0.2 (four in a row), since 8 of 100 look-ups fail wherever they go.

--- a/features/forwarding/fleet_evidence.feature
+++ b/features/forwarding/fleet_evidence.feature
@@ -7,9 +7,13 @@
     Then no booking of another node reaches the failing endpoint
 
   Scenario: An endpoint that fails one zone serves the others
-    When the nodes of one zone get 6 failures and those of another 6 answers
+    When the nodes of one zone get 6 failures and those of each other 6 answers
     Then the endpoint is set aside for the one zone only
 
+  Scenario: An endpoint that fails nodes of several zones is set aside for all
+    When one node of each of 4 zones gets a failure of a plain endpoint
+    Then the endpoint is set aside for every zone
+
   Scenario: Batches that come again, late or from a restarted node count once
     When a node tells batches again, late, and after its next start
     Then the evidence is that of the answers themselves
--- a/features/steps/forwarding_hub_places_steps.py
+++ b/features/steps/forwarding_hub_places_steps.py
@@ -103,7 +103,13 @@
 
     def play(steps: list[Any]) -> None:
         now = 0.0
-        hub = Hub(None, None, None, lambda: now, FleetEvidence(lambda: now))
+        hub = Hub(
+            None,
+            None,
+            None,
+            lambda: now,
+            FleetEvidence(lambda: now, lambda _: 0.2),
+        )
         told: dict[str, list[EndpointUse]] = {}
         open_grants: list[tuple[float, EndpointUse]] = []
         for kind, node, uses in steps:
--- a/packages/turmericyard-bench/src/turmericyard_bench/costs/hub_places.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/costs/hub_places.py
@@ -11,6 +11,7 @@
 
 import click
 
+from turmericyard_decisions.outlier import LATEST_WEIGHT
 from turmericyard_http.clock import boot_seconds
 from turmericyard_node.forwarding.answers import FleetEvidence
 from turmericyard_node.forwarding.hub import Hub
@@ -76,6 +77,11 @@
     return FleetBeat(1, 1, True, tuple(uses), tuple(answers))
 
 
+def create_evidence() -> FleetEvidence:
+    """Return evidence of nothing yet."""
+    return FleetEvidence(clock, lambda _: LATEST_WEIGHT)
+
+
 def create_placer(size: Size, loads: LoadBook) -> Placer:
     """Return the placer of a hub that knows all engines."""
     knowledge = Knowledge(cast('Any', None), boot_seconds)
@@ -95,7 +101,7 @@
             None,
         )
         knowledge.book.observe(record, 0)
-    evidence = FleetEvidence(clock)
+    evidence = create_evidence()
     return Placer(
         knowledge,
         loads,
@@ -111,7 +117,7 @@
     """Return milliseconds a beat taken, a place given, and a beat's bytes."""
     source = Random(size.nodes)
     nothing = cast('Any', None)
-    hub = Hub(nothing, nothing, nothing, clock, FleetEvidence(clock))
+    hub = Hub(nothing, nothing, nothing, clock, create_evidence())
     beats = [create_beat(size, source) for _ in range(size.nodes)]
     began = perf_counter()
     for number, beat in enumerate(beats):
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/outlier.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/outlier.py
@@ -10,9 +10,10 @@
 
 #: Weight of the latest answer in the moving failure share.
 LATEST_WEIGHT = 0.3
-#: The same where many nodes' answers are counted together: single requests
-#: that fail everywhere must not set an endpoint aside.
-FLEET_WEIGHT = 0.2
+#: The same where many nodes' answers of a plain service count together: its
+#: requests that fail everywhere (8 in 100 at the users' bench) must not set an
+#: endpoint aside.
+PLAIN_FLEET_WEIGHT = 0.2
 #: Failure share above which an endpoint is set aside.
 SET_ASIDE_SHARE = 0.5
 FIRST_DELAY_SECONDS = 1.0
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/answers.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/answers.py
@@ -1,10 +1,10 @@
 """What the endpoints answered this node, and at a hub all nodes."""
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from turmericyard_decisions.outlier import FLEET_WEIGHT, Evidence
+from turmericyard_decisions.outlier import Evidence
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.endpoint_book import Endpoint
@@ -16,6 +16,8 @@
 #: How long the evidence of an endpoint is kept without answers, in seconds.
 KEPT_SECONDS = 60.0
 MILLISECONDS = 1000
+#: Stands for all zones where evidence is kept by zone.
+ALL_ZONES = ''
 
 
 @dataclass(slots=True)
@@ -72,14 +74,16 @@
 
 @dataclass(slots=True)
 class FleetEvidence:
-    """At a hub, what endpoints answered the nodes of each zone.
+    """At a hub, what endpoints answered the nodes of each zone and of all.
 
     An endpoint may fail the callers of one zone only, so that evidence is
-    kept by endpoint and zone. `batches` are the last ones of each node,
-    `told_aside` is what nodes were told last.
+    kept by endpoint and zone beside that of all zones. `weight_of` is the
+    weight of an endpoint's latest answer, `batches` are the last ones of each
+    node, `told_aside` is what nodes were told last.
     """
 
     clock: Clock
+    weight_of: Callable[[str], float]
     batches: dict[str, int] = field(default_factory=dict)
     evidence: dict[tuple[str, str], Evidence] = field(default_factory=dict)
     told_aside: tuple[tuple[str, str], ...] = ()
@@ -92,13 +96,16 @@
         for counted in answers:
             if counted.batch > known:
                 self.observe(zone, counted)
+                self.observe(ALL_ZONES, counted)
                 self.batches[node] = counted.batch
 
     def observe(self, zone: str, counted: EndpointAnswers) -> None:
         """Take answers into account, failures last."""
-        found = self.evidence.setdefault(
-            (counted.identity, zone), Evidence(latest_weight=FLEET_WEIGHT)
-        )
+        key = (counted.identity, zone)
+        if key not in self.evidence:
+            weight = self.weight_of(counted.identity)
+            self.evidence[key] = Evidence(latest_weight=weight)
+        found = self.evidence[key]
         now = self.clock()
         for _ in range(counted.good):
             found.observe(failed=False, now=now)
@@ -109,11 +116,15 @@
 
     def is_aside(self, identity: str, zone: str) -> bool:
         """Return whether an endpoint gets nothing from a zone now."""
-        found = self.evidence.get((identity, zone))
-        return found is not None and found.aside(self.clock())
+        now = self.clock()
+        return any(
+            self.evidence[key].aside(now)
+            for key in ((identity, zone), (identity, ALL_ZONES))
+            if key in self.evidence
+        )
 
     def aside(self) -> tuple[tuple[str, str], ...]:
-        """Return the endpoints set aside, with the zones that they fail."""
+        """Return the endpoints set aside, each with a zone or `ALL_ZONES`."""
         now = self.clock()
         return tuple(
             sorted(
@@ -130,7 +141,9 @@
         self.told_aside = now
         log_event(
             Event.ENDPOINTS_ASIDE,
-            aside=[f'{identity} in {zone}' for identity, zone in now],
+            aside=[
+                f'{identity} {zone or "all zones"}' for identity, zone in now
+            ],
         )
         return now
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -5,6 +5,7 @@
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.tasks import BackgroundTasks
 from turmericyard_node.contact import Contact
+from turmericyard_node.forwarding.answers import ALL_ZONES
 from turmericyard_node.forwarding.application import ForwardingApplication
 from turmericyard_node.forwarding.calls import CallForwarder
 from turmericyard_node.forwarding.continuer import Continuer
@@ -140,7 +141,9 @@
     if fleet.hub.evidence.is_aside(identity, zone):
         return True
     told = fleet.hubs.primary()
-    return told is not None and (identity, zone) in told.aside
+    if told is None:
+        return False
+    return (identity, zone) in told.aside or (identity, ALL_ZONES) in told.aside
 
 
 def store_fails(hubs: HubChoice, knowledge: Knowledge) -> bool:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
@@ -1,8 +1,10 @@
 """Joins the parts by which a forwarding node works with its peers."""
 
+from functools import partial
 from uuid import uuid4
 
 from turmericyard_clients.store import Store
+from turmericyard_decisions.outlier import LATEST_WEIGHT, PLAIN_FLEET_WEIGHT
 from turmericyard_http.clock import boot_seconds
 from turmericyard_node.contact import Contact
 from turmericyard_node.forwarding.answers import AnswerTally, FleetEvidence
@@ -48,7 +50,7 @@
         receive_nothing,
         settings.peers.rpartition(':')[0],
     )
-    evidence = FleetEvidence(boot_seconds)
+    evidence = FleetEvidence(boot_seconds, partial(weight_of, knowledge))
     hub = Hub(mesh, contact, knowledge, boot_seconds, evidence)
     loads = LoadBook(hub.others)
     fleet = Fleet(
@@ -67,6 +69,15 @@
     return fleet
 
 
+def weight_of(knowledge: Knowledge, identity: str) -> float:
+    """Return the weight of an endpoint's latest answer to any node."""
+    endpoint = knowledge.book.endpoints.get(identity)
+    service = knowledge.service(endpoint.record.service) if endpoint else None
+    if service is None or service.engine is None:
+        return PLAIN_FLEET_WEIGHT
+    return LATEST_WEIGHT
+
+
 def is_not_ready() -> bool:
     """Return False until the application has its own answer."""
     return False
