--- a/features/steps/forwarding_recovery_steps.py
+++ b/features/steps/forwarding_recovery_steps.py
@@ -4,8 +4,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from support.fleet_soak.__main__ import recover
 from support.fleet_soak.load import Clients
+from support.fleet_soak.soak import recover
 from support.fleet_soak.stage import open_stage
 
 #: Runners of each service.
--- a/features/steps/forwarding_soak_steps.py
+++ b/features/steps/forwarding_soak_steps.py
@@ -5,8 +5,8 @@
 from behave import then, when
 from behave.runner import Context
 
-from support.fleet_soak.__main__ import run_soak
 from support.fleet_soak.faults import PER_ROUND, draw_faults
+from support.fleet_soak.soak import run_soak
 
 
 @when('a soak of forwarding nodes runs one round with seed {seed:d}')
--- a/features/support/fleet_soak/nodes.py
+++ b/features/support/fleet_soak/nodes.py
@@ -28,7 +28,7 @@
 
 @dataclass
 class NodeProcess:
-    """One node; `starts` counts its processes, `ended` their exits."""
+    """One node, whose processes began at the times `started_at`."""
 
     name: str
     zone: str
@@ -92,6 +92,7 @@
 
     @property
     def path(self) -> Path:
+        """Return the file of its settings."""
         return self.directory / f'{self.name}.toml'
 
     def write_settings(self) -> None:
--- a/features/support/fleet_soak/stage.py
+++ b/features/support/fleet_soak/stage.py
@@ -87,8 +87,8 @@
     launcher: Launcher
     directory: Path
     source: random.Random
-    world: World = field(default_factory=World)
-    store: SoakStore = field(default_factory=SoakStore)
+    store: SoakStore
+    world: World
     nodes: dict[str, NodeProcess] = field(default_factory=dict)
     links: dict[str, Link] = field(default_factory=dict)
     services: dict[str, str] = field(default_factory=dict)
@@ -205,7 +205,6 @@
 
     def register(self, identity: str, state: str = 'ready') -> None:
         zone = ZONES[int(identity.removeprefix('i-')) % len(ZONES)]
-        self.world.store = self.store
         self.world.register(identity, self.services[identity], state, zone=zone)
 
     async def remove_runner(self, identity: str) -> None:
@@ -246,7 +245,9 @@
 
 
 def create_stage(launcher: Launcher, seed: int) -> Stage:
-    return Stage(launcher, launcher.directory, random.Random(seed))
+    store = SoakStore()
+    source = random.Random(seed)
+    return Stage(launcher, launcher.directory, source, store, World(store))
 
 
 async def open_stage(
