--- a/features/support/fleet_soak/stage.py
+++ b/features/support/fleet_soak/stage.py
@@ -82,7 +82,13 @@
 
 @dataclass
 class Stage:
-    """Everything of one soak; `links` by what they lead to or from."""
+    """Everything of one soak.
+
+    `links` have the name of what they lead to or from, `services` and
+    `left_at` (when it began to leave) that of a runner, `revoked` a key and
+    the time of its end; `ends` are nodes told to end: name, time, and the
+    seconds that it took, None when it did not end.
+    """
 
     launcher: Launcher
     directory: Path
