Follow settings that change without a signal; one set of what is aside

The settings file may change without a signal; a node took its seeds at the start and on SIGHUP only, so a node that starts alone with seeds that name nobody would not learn of others while the store is away. The reload also kept the node's own address among its seeds. Evidence: every 0.2 s the hub went through the evidence of all endpoints and zones (38,000 entries at 1,600 engines and 23 zones) to find those aside, and each candidate of a place asked for itself. Change: seeds are read again before they are asked and on SIGHUP, by one function in discovery; a change or a new failure is logged once. The hub keeps a set of what is aside; a place asks once for its zone; old evidence is looked for every 10 s.

--- a/features/forwarding/knowledge.feature
+++ b/features/forwarding/knowledge.feature
@@ -27,6 +27,11 @@
     When the store goes down and another node starts
     Then that node serves within 3 seconds
 
+  Scenario: Seeds that change without a signal are asked
+    Given a world whose store is down and 1 node
+    When another node starts alone and its settings then name the first one
+    Then it knows the first node within 3 seconds
+
   Scenario: A leaving endpoint gets no new requests
     Given a world with 2 plain endpoints and 2 nodes
     When an endpoint announces that it leaves
--- a/features/steps/forwarding_fleet_evidence_steps.py
+++ b/features/steps/forwarding_fleet_evidence_steps.py
@@ -8,8 +8,12 @@
 from support.fleet.scenario import run
 from support.fleet.world import World
 from turmericyard_decisions.outlier import PLAIN_FLEET_WEIGHT
-from turmericyard_node.forwarding.answers import ALL_ZONES, FleetEvidence
-from turmericyard_node.forwarding.assembly import fails_zone
+from turmericyard_node.forwarding.answers import (
+    ALL_ZONES,
+    FleetEvidence,
+    failing_in,
+)
+from turmericyard_node.forwarding.assembly import set_aside
 from turmericyard_protocol.fleet_messages import EndpointAnswers
 
 BOOKINGS = 10
@@ -25,7 +29,7 @@
                 await world.ask(node, '/write/a', f'at-{uuid4().hex}')
         other = world.nodes[nodes[count]]
         await world.until(
-            lambda: fails_zone(other.fleet, 'i-0', other.settings.zone)
+            lambda: 'i-0' in set_aside(other.fleet, other.settings.zone)
         )
         before = len(failing.ran)
         for number in range(BOOKINGS):
@@ -65,15 +69,15 @@
 
 @then('the endpoint is set aside for every zone')
 def step_every_zone(context: Context) -> None:
-    assert context.evidence.is_aside('i-0', 'a')
-    assert context.evidence.is_aside('i-0', 'another')
+    for zone in ('a', 'another'):
+        assert failing_in(context.evidence.aside(), zone) == {'i-0'}
 
 
 @then('the endpoint is set aside for the one zone only')
 def step_one_zone(context: Context) -> None:
     assert context.evidence.aside() == (('i-0', 'a'),), context.evidence
-    assert context.evidence.is_aside('i-0', 'a')
-    assert not context.evidence.is_aside('i-0', 'b')
+    assert failing_in(context.evidence.aside(), 'a') == {'i-0'}
+    assert not failing_in(context.evidence.aside(), 'b')
 
 
 @when('a node tells batches again, late, and after its next start')
--- a/features/steps/forwarding_knowledge_steps.py
+++ b/features/steps/forwarding_knowledge_steps.py
@@ -1,12 +1,14 @@
 """Steps for what nodes know of the platform."""
 
 import json
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
 import curio
 from behave import then, when
 from behave.runner import Context
+from returns.result import Success
 
 from support.fleet.scenario import (
     all_runs,
@@ -91,6 +93,30 @@
     run(context, scenario)
 
 
+@when('another node starts alone and its settings then name the first one')
+def step_new_seeds(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        first = world.nodes.pop('n-0')
+        node = await world.add_node('n-9')
+        world.nodes['n-0'] = first
+        await curio.sleep(0.3)
+        seeds = (first.settings.control,)
+        changed = Success(replace(node.settings, seeds=seeds))
+        node.discovery.read_settings = lambda: changed
+
+        async def known() -> bool:
+            return 'n-0' in node.fleet.membership.members
+
+        context.took = await seconds_until(world, known, 4)
+
+    run(context, scenario)
+
+
+@then('it knows the first node within {seconds:d} seconds')
+def step_knows(context: Context, seconds: int) -> None:
+    assert context.took <= seconds, context.took
+
+
 async def arrivals_at_first(world: World) -> int:
     """Return how many of some calls through two nodes reach `i-0`."""
     before = len(world.runners['i-0'].arrivals)
--- a/packages/turmericyard-bench/src/turmericyard_bench/costs/hub_places.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/costs/hub_places.py
@@ -101,7 +101,6 @@
             None,
         )
         knowledge.book.observe(record, 0)
-    evidence = create_evidence()
     return Placer(
         knowledge,
         loads,
@@ -109,7 +108,7 @@
         'a',
         boot_seconds,
         lambda: size.nodes,
-        evidence.is_aside,
+        lambda _: frozenset(),
     )
 
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/answers.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/answers.py
@@ -15,6 +15,8 @@
 TOLD_SECONDS = 0.7
 #: How long the evidence of an endpoint is kept without answers, in seconds.
 KEPT_SECONDS = 60.0
+#: Time between two looks for evidence that is no longer kept, in seconds.
+FORGET_SECONDS = 10.0
 MILLISECONDS = 1000
 #: Stands for all zones where evidence is kept by zone.
 ALL_ZONES = ''
@@ -87,6 +89,9 @@
     batches: dict[str, int] = field(default_factory=dict)
     evidence: dict[tuple[str, str], Evidence] = field(default_factory=dict)
     told_aside: tuple[tuple[str, str], ...] = ()
+    #: Keys of evidence that set its endpoint aside not long ago.
+    failing: set[tuple[str, str]] = field(default_factory=set)
+    forget_at: float = 0
 
     def take(
         self, node: str, zone: str, answers: Iterable[EndpointAnswers]
@@ -113,29 +118,21 @@
             found.observe(failed=True, now=now)
         for _ in range(counted.unreachable):
             found.observe_unreachable(now)
-
-    def is_aside(self, identity: str, zone: str) -> bool:
-        """Return whether an endpoint gets nothing from a zone now."""
-        now = self.clock()
-        return any(
-            self.evidence[key].aside(now)
-            for key in ((identity, zone), (identity, ALL_ZONES))
-            if key in self.evidence
-        )
+        if found.aside(now):
+            self.failing.add(key)
 
     def aside(self) -> tuple[tuple[str, str], ...]:
         """Return the endpoints set aside, each with a zone or `ALL_ZONES`."""
         now = self.clock()
-        return tuple(
-            sorted(
-                key for key, each in self.evidence.items() if each.aside(now)
-            )
-        )
+        self.failing = {
+            key for key in self.failing if self.evidence[key].aside(now)
+        }
+        return tuple(sorted(self.failing))
 
     def changed_aside(self) -> tuple[tuple[str, str], ...] | None:
         """Return the endpoints set aside if they changed since told."""
-        self.forget_old()
         now = self.aside()
+        self.forget_old()
         if now == self.told_aside:
             return None
         self.told_aside = now
@@ -149,9 +146,21 @@
 
     def forget_old(self) -> None:
         """Forget evidence of endpoints that answered nobody for long."""
-        oldest = self.clock() - KEPT_SECONDS
+        now = self.clock()
+        if now < self.forget_at:
+            return
+        self.forget_at = now + FORGET_SECONDS
         self.evidence = {
             key: each
             for key, each in self.evidence.items()
-            if each.observed_at > oldest
+            if each.observed_at > now - KEPT_SECONDS or key in self.failing
         }
+
+
+def failing_in(aside: Iterable[tuple[str, str]], zone: str) -> frozenset[str]:
+    """Return the endpoints that are set aside for a zone."""
+    return frozenset(
+        identity
+        for identity, failed_zone in aside
+        if failed_zone in {zone, ALL_ZONES}
+    )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -5,11 +5,11 @@
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.tasks import BackgroundTasks
 from turmericyard_node.contact import Contact
-from turmericyard_node.forwarding.answers import ALL_ZONES
+from turmericyard_node.forwarding.answers import failing_in
 from turmericyard_node.forwarding.application import ForwardingApplication
 from turmericyard_node.forwarding.calls import CallForwarder
 from turmericyard_node.forwarding.continuer import Continuer
-from turmericyard_node.forwarding.discovery import Discovery
+from turmericyard_node.forwarding.discovery import Discovery, other_seeds
 from turmericyard_node.forwarding.entry import Entry
 from turmericyard_node.forwarding.fleet import Fleet
 from turmericyard_node.forwarding.fleet_assembly import create_fleet
@@ -41,7 +41,7 @@
     contact = Contact(LIVE_SECONDS, now - LIVE_SECONDS, LIVE_SECONDS)
     knowledge = create_knowledge(border, boot_seconds)
     fleet = create_fleet(settings, store, contact, knowledge)
-    discovery = Discovery(fleet, other_seeds(settings))
+    discovery = Discovery(fleet, border.read_settings, other_seeds(settings))
     knowledge.book.in_trouble = partial(store_fails, fleet.hubs, knowledge)
     knowledge.listeners.extend((discovery.observe, fleet.hub.observe))
     placer = Placer(
@@ -51,7 +51,7 @@
         settings.zone,
         boot_seconds,
         fleet.size,
-        partial(fails_zone, fleet),
+        partial(set_aside, fleet),
     )
     fleet.place_for = placer.place_for
     fleet.copy_place_for = placer.place_copy
@@ -89,11 +89,6 @@
     return application
 
 
-def other_seeds(settings: ForwardingSettings) -> tuple[str, ...]:
-    """Return the seeds without this node."""
-    return tuple(seed for seed in settings.seeds if seed != settings.control)
-
-
 def create_forwarders(
     border: Border,
     settings: ForwardingSettings,
@@ -136,14 +131,11 @@
     return bool(fleet.hub.heard) or fleet.size() == 1
 
 
-def fails_zone(fleet: Fleet, identity: str, zone: str) -> bool:
-    """Return whether an endpoint fails a zone's nodes, as far as known."""
-    if fleet.hub.evidence.is_aside(identity, zone):
-        return True
+def set_aside(fleet: Fleet, zone: str) -> frozenset[str]:
+    """Return the endpoints that fail a zone's nodes, as far as known."""
+    found = failing_in(fleet.hub.evidence.aside(), zone)
     told = fleet.hubs.primary()
-    if told is None:
-        return False
-    return (identity, zone) in told.aside or (identity, ALL_ZONES) in told.aside
+    return found if told is None else found | failing_in(told.aside, zone)
 
 
 def store_fails(hubs: HubChoice, knowledge: Knowledge) -> bool:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/command.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/command.py
@@ -9,7 +9,6 @@
 import curio
 from returns.result import Success
 
-from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.application import ForwardingApplication
 from turmericyard_node.forwarding.assembly import create_forwarding
 from turmericyard_node.forwarding.log_output import log_to
@@ -53,20 +52,9 @@
     Settings that changed before signals were followed are taken over first.
     """
     wakeup = watch_signals((*STOP_SIGNALS, signal.SIGHUP))
-    reload_settings(application)
+    application.discovery.refresh_seeds()
     await application.start()
     async with wakeup:
         while (await wakeup.recv(1))[0] == signal.SIGHUP:
-            reload_settings(application)
+            application.discovery.refresh_seeds()
     await application.stop()
-
-
-def reload_settings(application: ForwardingApplication) -> None:
-    """Take over settings that may change while a node runs."""
-    read = application.border.read_settings()
-    if not isinstance(read, Success):
-        log_event(Event.NODE_RELOADED, outcome=read.failure())
-        return
-    settings = read.unwrap()
-    application.discovery.seeds = settings.seeds
-    log_event(Event.NODE_RELOADED, outcome='done', seeds=settings.seeds)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/discovery.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/discovery.py
@@ -1,15 +1,18 @@
 """How nodes find each other: records in the store, and the seeds."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import curio
 import orjson
-from returns.result import Success
+from returns.result import Result, Success
 
 from turmericyard_clients.store import Change
 from turmericyard_http.client import HttpClient
+from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.fleet import Fleet
 from turmericyard_node.members import MEMBERS_PREFIX, Member, decode_records
+from turmericyard_ports.settings import ForwardingSettings
 
 SEED_TIMEOUT_SECONDS = 0.5
 SEED_INTERVAL_SECONDS = 1.0
@@ -17,6 +20,7 @@
 #: the record's life.
 RENEW_SECONDS = 8.0
 MEMBERS_PATH = '/members'
+DONE = 'done'
 
 
 @dataclass(slots=True)
@@ -24,7 +28,10 @@
     """Keeps the own record and finds the others; seeds are `ip:port`."""
 
     fleet: Fleet
+    read_settings: Callable[[], Result[ForwardingSettings, str]]
     seeds: tuple[str, ...]
+    #: How the settings were read last.
+    outcome: str = DONE
 
     def observe(self, change: Change) -> None:
         """Take over the record of a member from the store."""
@@ -58,13 +65,34 @@
             await curio.sleep(RENEW_SECONDS)
 
     async def run_seeds(self) -> None:
-        """Ask the seeds for members while none is known."""
+        """Ask the seeds for members while none is known.
+
+        The settings may have changed without a signal.
+        """
         while True:
             if not self.fleet.hubs.news and not self.fleet.hub.heard:
+                self.refresh_seeds()
                 for seed in self.seeds:
                     await self.ask_seed(seed)
             await curio.sleep(SEED_INTERVAL_SECONDS)
 
+    def refresh_seeds(self) -> None:
+        """Take over the seeds of the settings as they are now.
+
+        The ones known stay when the settings cannot be read.
+        """
+        known = (self.outcome, self.seeds)
+        read = self.read_settings()
+        if isinstance(read, Success):
+            self.outcome = DONE
+            self.seeds = other_seeds(read.unwrap())
+        else:
+            self.outcome = read.failure()
+        if known != (self.outcome, self.seeds):
+            log_event(
+                Event.NODE_RELOADED, outcome=self.outcome, seeds=self.seeds
+            )
+
     async def ask_seed(self, seed: str) -> None:
         """Take over the members that a seed knows."""
         client = HttpClient(seed)
@@ -83,3 +111,8 @@
             return
         if isinstance(listed, list):
             self.add(decode_records(map(orjson.dumps, listed)))
+
+
+def other_seeds(settings: ForwardingSettings) -> tuple[str, ...]:
+    """Return the seeds without this node."""
+    return tuple(seed for seed in settings.seeds if seed != settings.control)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
@@ -1,6 +1,6 @@
 """Turns what is known into places for requests and for copies of runs."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Set
 from dataclasses import dataclass, field
 from random import Random
 
@@ -41,8 +41,8 @@
     zone: str
     clock: Clock
     fleet_size: Callable[[], int]
-    #: Whether an endpoint, by identity, fails the nodes of a zone.
-    is_aside: Callable[[str, str], bool]
+    #: Endpoints, by identity, that fail the nodes of a zone.
+    set_aside: Callable[[str], Set[str]]
     random: Random = field(default_factory=Random)
 
     def place(self, job: Job) -> Endpoint | None:
@@ -145,11 +145,11 @@
             if endpoint.identity not in need.avoided
             and self.cold_allows(endpoint, cold_share, now)
         }
+        failing = self.set_aside(need.zone)
         sound = {
             identity: endpoint
             for identity, endpoint in found.items()
-            if not endpoint.evidence.aside(now)
-            and not self.is_aside(identity, need.zone)
+            if identity not in failing and not endpoint.evidence.aside(now)
         }
         return sound or found
 
