Split the soak's checks; reuse the world's server and request lines

Change: evidence, request_checks and fleet_checks; one server, one function for a client's header lines. A request without an attempt id is recorded and breaks a promise of its own instead of ending the check.

--- a/features/forwarding/soak.feature
+++ b/features/forwarding/soak.feature
@@ -5,6 +5,7 @@
     Then the seed's failures are the same when drawn again
     And every promise of the soak held
 
+    # 2: a node was told of new settings while it started and ended by it.
     Examples:
       | seed |
       | 1    |
--- a/features/steps/forwarding_command_steps.py
+++ b/features/steps/forwarding_command_steps.py
@@ -1,5 +1,7 @@
 """Steps for the process of a forwarding node."""
 
+import signal
+
 from behave import then, when
 from behave.runner import Context
 
@@ -17,6 +19,16 @@
     )
 
 
+@when("a node's process is told of new settings as soon as it exists")
+def step_immediate_signal(context: Context) -> None:
+    context.process = context.launcher.start(
+        'node',
+        'turmericyard_node.main',
+        ('--adapter', 'support.early_signal'),
+    )
+    context.process.signal(signal.SIGHUP)
+
+
 @then('its process ends with the status for wrong settings')
 def step_status(context: Context) -> None:
     assert context.process.wait(START_SECONDS) == EXIT_SETTINGS
--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -41,6 +41,8 @@
     arrivals: list[dict[str, str]] = field(default_factory=list)
     #: When each of the arrivals came, in seconds since the boot.
     arrived_at: list[float] = field(default_factory=list)
+    #: Requests without the id of an attempt.
+    strangers: list[str] = field(default_factory=list)
     #: Attempts of streams that began here and not from a copy.
     begun: list[str] = field(default_factory=list)
     ran: list[str] = field(default_factory=list)
@@ -56,9 +58,12 @@
         if request.path.startswith('/-/kv-handle/'):
             return json_response(200, {})
         headers = dict(request.headers)
+        attempt = headers.get('x-turmericyard-attempt-id')
+        if attempt is None:
+            self.strangers.append(f'{request.method} {request.path} {headers}')
+            return OpaqueResponse(400, ())
         self.arrivals.append(headers)
         self.arrived_at.append(boot_seconds())
-        attempt = headers['x-turmericyard-attempt-id']
         echo = (b'x-turmericyard-attempt-id', attempt.encode())
         fault = self.take_fault()
         if headers.get('x-turmericyard-expect-instance') != self.identity:
--- a/features/support/fleet_soak/load.py
+++ b/features/support/fleet_soak/load.py
@@ -9,7 +9,8 @@
 import h11
 import orjson
 
-from support.fleet.world import HOST, Answer, read_answer
+from support.fleet.scenario import PROMPT
+from support.fleet.world import Answer, read_answer, request_lines
 from support.fleet_soak.stage import Stage
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.connection import ClientConnection, connect
@@ -172,18 +173,15 @@
     async def exchange(self, asked: Asked) -> None:
         assert self.connection is not None
         body = asked.attempt.encode()
-        lines = {
-            'host': HOST,
-            'x-turmericyard-attempt-id': asked.attempt,
-            'x-turmericyard-deadline-ms': str(DEADLINE_MS[asked.kind]),
-            'authorization': f'Bearer {asked.key}',
-            'content-length': str(len(body)),
-        }
-        if asked.kind == 'stream':
-            lines['x-turmericyard-token-count'] = '2000,400'
-        encoded = tuple((k.encode(), v.encode()) for k, v in lines.items())
+        lines = request_lines(
+            asked.attempt,
+            DEADLINE_MS[asked.kind],
+            body,
+            authorization=f'Bearer {asked.key}',
+            **(PROMPT if asked.kind == 'stream' else {}),
+        )
         await self.connection.send_lines(
-            b'POST', asked.target.encode(), encoded, body
+            b'POST', asked.target.encode(), lines, body
         )
         asked.sent = True
         await read_answer(self.connection, asked.answer)
--- a/features/support/fleet_soak/soak.py
+++ b/features/support/fleet_soak/soak.py
@@ -5,7 +5,8 @@
 import click
 import curio
 
-from support.fleet_soak.checks import Evidence, check_all
+from support.fleet_soak.checks import check_all
+from support.fleet_soak.evidence import Evidence
 from support.fleet_soak.faults import Fault, draw_faults
 from support.fleet_soak.load import DEADLINE_MS, Client, Clients
 from support.fleet_soak.stage import Stage, open_stage
--- a/features/support/fleet_soak/stage.py
+++ b/features/support/fleet_soak/stage.py
@@ -17,10 +17,9 @@
 from support.fleet_soak.nodes import NodeProcess
 from turmericyard_bench.launch import LOOPBACK, Launcher, free_port
 from turmericyard_bench.standins.link import Link, accept_all
-from turmericyard_http.answer_writer import Limits
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.messages import Request, Response
-from turmericyard_http.server import HttpServer, open_listener
+from turmericyard_http.server import open_listener
 from turmericyard_node.members import MEMBERS_PREFIX
 
 ZONES = ('a', 'b')
@@ -181,8 +180,7 @@
         runner = FleetRunner(
             identity, length=EVENTS, peers=self.world.by_address
         )
-        behind = f'{LOOPBACK}:{free_port()}'
-        await self.serve(identity, behind, runner)
+        behind = await self.world.serve(identity, runner.answer)
         if address is None:
             runner.address = await self.add_link(f'runner {identity}', behind)
         else:
@@ -194,15 +192,6 @@
         self.register(identity)
         return runner
 
-    async def serve(
-        self, identity: str, address: str, runner: FleetRunner
-    ) -> None:
-        host, _, port = address.rpartition(':')
-        listener = open_listener(host, int(port))
-        server = HttpServer(listener, runner.answer, Limits(watch_client=True))
-        self.world.servers[identity] = server
-        self.world.tasks.append(await curio.spawn(server.run, daemon=True))
-
     def reuse_link(self, identity: str, address: str, behind: str) -> None:
         former = self.world.by_address[address].identity
         link = self.links.pop(f'runner {former}')
