--- a/features/steps/bench_launch_steps.py
+++ b/features/steps/bench_launch_steps.py
@@ -1,9 +1,14 @@
 """Steps for the launcher of processes."""
 
+import os
+import signal
+import time
+
 from behave import given, then, when
 from behave.runner import Context
 
 STORE = 'turmericyard_bench.standins.store'
+END_SECONDS = 10
 
 
 @given('a launcher that started two stores under one name')
@@ -24,3 +29,34 @@
     for each in running:
         each.kill()
     assert not running
+
+
+@given('a run that started a process')
+def step_run(context: Context) -> None:
+    context.run = context.launcher.start_ready('run', 'support.idle_launcher')
+    context.started = context.run.ports[0]
+
+
+@when('the run is told to end')
+def step_told(context: Context) -> None:
+    context.run.terminate()
+    assert context.run.wait(END_SECONDS) is not None
+
+
+@then('the process it started has ended')
+def step_gone(context: Context) -> None:
+    ends_at = time.monotonic() + END_SECONDS
+    while exists(context.started) and time.monotonic() < ends_at:
+        time.sleep(0.05)
+    left = exists(context.started)
+    if left:
+        os.kill(context.started, signal.SIGKILL)
+    assert not left
+
+
+def exists(process: int) -> bool:
+    try:
+        os.kill(process, 0)
+    except ProcessLookupError:
+        return False
+    return True
--- a/features/support/fleet_soak/faults.py
+++ b/features/support/fleet_soak/faults.py
@@ -13,8 +13,9 @@
 LASTS = (0.5, 6.0)
 #: Range of the time after which a killed process starts again, in seconds.
 RESTARTS = (0.1, 2.0)
-#: Notice with which an engine is taken away, in seconds.
-NOTICE_SECONDS = 1.8
+#: Range of the notice with which a runner is taken away, in seconds: shorter
+#: and longer than the time after which it must get no request.
+NOTICES = (1.5, 6.0)
 #: Time in which living runners renew lapsed records, in seconds.
 RENEW_SECONDS = 1.5
 STORE_MODES = ('busy', 'many', 'reset', 'silent')
@@ -177,7 +178,7 @@
         stage.left_at[identity] = boot_seconds()
         stage.register(identity, 'draining')
         await stage.add_runner(service)
-        await curio.sleep(NOTICE_SECONDS)
+        await curio.sleep(stage.source.uniform(*NOTICES))
         address = stage.world.runners[identity].address
         await stage.remove_runner(identity)
         await curio.sleep(RENEW_SECONDS)
--- a/features/support/fleet_soak/fleet_checks.py
+++ b/features/support/fleet_soak/fleet_checks.py
@@ -10,7 +10,6 @@
     WINDOW_SECONDS,
 )
 from support.fleet_soak.request_checks import (
-    EXIT_SECONDS,
     NOT_FOUND,
     OK,
     UNAVAILABLE,
@@ -25,6 +24,8 @@
 REVOKE_SECONDS = 5.0
 #: Time without trouble after which bounds hold again (stableWindowMs).
 STABLE_SECONDS = 4.0
+#: Time past its grace in which an ended node's process exits, in seconds.
+EXIT_SECONDS = 1.0
 #: Time after the last failure within which every node serves, in seconds.
 RECOVERY_SECONDS = 12.0
 
--- a/features/support/fleet_soak/request_checks.py
+++ b/features/support/fleet_soak/request_checks.py
@@ -9,8 +9,9 @@
 
 #: Time past its deadline in which a request must have its answer, in seconds.
 LATE_SECONDS = 1.0
-#: Time past its grace in which an ended node's process exits, in seconds.
-EXIT_SECONDS = 1.0
+#: A request sent so shortly before or after its node's process ends may cross
+#: the end, in seconds.
+CROSSING_SECONDS = 0.1
 OK = 200
 UNAUTHORIZED = 401
 NOT_FOUND = 404
@@ -115,11 +116,26 @@
 
 
 def exits_near(evidence: Evidence, asked: Asked) -> bool:
-    """Return whether its node's process ended as the request came."""
+    """Return whether the request was sent as its node's process ended."""
     return any(
         name == asked.node
         and took is not None
-        and asked.began > began + took - EXIT_SECONDS / 2
-        and asked.began < began + took + EXIT_SECONDS
+        and abs(asked.began - began - took) < CROSSING_SECONDS
         for name, began, took in evidence.stage.ends
     )
+
+
+def ending_nodes_cut_nothing(evidence: Evidence) -> Iterator[str]:
+    """A node that is told to end cuts no stream that it has."""
+    stage = evidence.stage
+    for asked in evidence.sent:
+        answer = asked.answer
+        if asked.kind != 'stream' or answer.status != OK or answer.whole:
+            continue
+        told_meanwhile = any(
+            name == asked.node and asked.began < began < asked.ended
+            for name, began, _ in stage.ends
+        )
+        calm = stage.calm(asked.began, asked.ended, asked.node, 'runner')
+        if told_meanwhile and calm:
+            yield told(asked)
--- a/packages/turmericyard-bench/src/turmericyard_bench/launch.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/launch.py
@@ -25,6 +25,8 @@
 #: Part of a log that an error shows, in characters.
 LOG_TAIL = 2000
 OK = 200
+#: Exit status of a process ended by a signal, without the signal's number.
+SIGNAL_STATUS = 128
 FIRST_PORT = 20_000
 PORT_COUNT = 12_000
 #: Distance between the first ports of two processes with adjacent ids.
@@ -183,12 +185,22 @@
 
 
 def create_launcher() -> Launcher:
-    """Return a launcher whose processes end with this one at the latest."""
+    """Return a launcher whose processes end with this one at the latest.
+
+    Only SIGKILL leaves them behind. Call it in the main thread.
+    """
     launcher = Launcher(Path(tempfile.mkdtemp(prefix='turmericyard-')))
     atexit.register(launcher.close)
+    if signal.getsignal(signal.SIGTERM) is signal.SIG_DFL:
+        signal.signal(signal.SIGTERM, exit_on_signal)
     return launcher
 
 
+def exit_on_signal(number: int, _frame: object) -> None:
+    """End this process as the signal would, but by way of its clean-up."""
+    sys.exit(SIGNAL_STATUS + number)
+
+
 def ready_ports(log: Path) -> tuple[int, ...] | None:
     """Return the ports of the ready line of a log."""
     for line in log.read_text(errors='replace').splitlines():
