Draw each failure of the fleet soak from a source of its own

Cause: all failures of a round and the clients drew from one source, so that what a seed played depended on which task ran first; a seed that failed could not be played again. Ruled out: recording the draws instead, which would need a second format. Change: a source by seed, round and place for each failure, another for the clients. The scenario that compared the names of two draws now compares the first number of each failure's own source too.

--- a/features/steps/forwarding_recovery_steps.py
+++ b/features/steps/forwarding_recovery_steps.py
@@ -1,5 +1,7 @@
 """Steps for nodes that come back all at once, as real processes."""
 
+from random import Random
+
 import curio
 from behave import given, then, when
 from behave.runner import Context
@@ -25,7 +27,7 @@
 )
 def step_killed(context: Context, trouble: str, seconds: int) -> None:
     async def scenario() -> None:
-        stage = await open_stage(context.launcher, 1, context.count, RUNNERS)
+        stage = await open_stage(context.launcher, context.count, RUNNERS)
         try:
             stage.store.mode = trouble
             for node in stage.nodes.values():
@@ -37,7 +39,7 @@
             context.away_rate = len(stage.store.calls) / seconds / context.count
             stage.store.mode = ''
             stage.store.calls.clear()
-            probing = await curio.spawn(recover, Clients(stage, stage.source))
+            probing = await curio.spawn(recover, Clients(stage, Random(1)))
             await curio.sleep(COUNTED_SECONDS)
             calls = len(stage.store.calls)
             context.back_rate = calls / COUNTED_SECONDS / context.count
--- a/features/steps/forwarding_soak_steps.py
+++ b/features/steps/forwarding_soak_steps.py
@@ -1,19 +1,17 @@
 """Steps for the soak of forwarding nodes as real processes."""
 
-import random
-
 from behave import then, when
 from behave.runner import Context
 
-from support.fleet_soak.faults import PER_ROUND, draw_faults
-from support.fleet_soak.soak import run_soak
+from support.fleet_soak.faults import PER_ROUND
+from support.fleet_soak.soak import draw_round, run_soak
 
 
 @when('a soak of forwarding nodes runs one round with seed {seed:d}')
 def step_soak(context: Context, seed: int) -> None:
     context.broken = run_soak(context.launcher, seed, seconds=0)
     context.drawn = [
-        [fault.name for fault in draw_faults(random.Random(seed))]
+        [(fault.name, source.random()) for fault, source in draw_round(seed, 0)]
         for _ in range(2)
     ]
 
--- a/features/support/fleet_soak/faults.py
+++ b/features/support/fleet_soak/faults.py
@@ -1,8 +1,8 @@
 """Failures that a soak draws by seed; each one ends by itself."""
 
-import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from random import Random
 
 import curio
 
@@ -26,185 +26,187 @@
 IMPATIENCE = (0.1, 2.5)
 
 
-async def last(stage: Stage) -> None:
-    await curio.sleep(stage.source.uniform(*LASTS))
+async def last(source: Random) -> None:
+    await curio.sleep(source.uniform(*LASTS))
 
 
-async def restart(stage: Stage, name: str) -> None:
-    await curio.sleep(stage.source.uniform(*RESTARTS))
+async def restart(stage: Stage, name: str, source: Random) -> None:
+    await curio.sleep(source.uniform(*RESTARTS))
     node = stage.nodes[name]
     node.start()
     await node.until_ready()
 
 
-def pick_node(stage: Stage) -> str:
-    return stage.source.choice(sorted(stage.nodes))
+def pick_node(stage: Stage, source: Random) -> str:
+    return source.choice(sorted(stage.nodes))
 
 
-async def kill_node(stage: Stage) -> None:
-    name = pick_node(stage)
+async def kill_node(stage: Stage, source: Random) -> None:
+    name = pick_node(stage, source)
     with stage.disturbed(name):
         stage.nodes[name].kill()
-        await restart(stage, name)
+        await restart(stage, name, source)
 
 
-async def kill_all_nodes(stage: Stage) -> None:
+async def kill_all_nodes(stage: Stage, source: Random) -> None:
     with stage.disturbed(*stage.nodes):
         for node in stage.nodes.values():
             node.kill()
         async with curio.TaskGroup() as group:
             for name in stage.nodes:
-                await group.spawn(restart, stage, name)
+                await group.spawn(restart, stage, name, source)
 
 
-async def pause_node(stage: Stage) -> None:
-    name = pick_node(stage)
+async def pause_node(stage: Stage, source: Random) -> None:
+    name = pick_node(stage, source)
     with stage.disturbed(name):
         stage.nodes[name].pause()
-        await last(stage)
+        await last(source)
         stage.nodes[name].resume()
 
 
-async def end_node(stage: Stage) -> None:
+async def end_node(stage: Stage, source: Random) -> None:
     """Ask a node to end and start it again."""
-    name = pick_node(stage)
+    name = pick_node(stage, source)
     began = boot_seconds()
     took = await stage.nodes[name].end()
     stage.ends.append((name, began, took))
     with stage.disturbed(name):
-        await restart(stage, name)
+        await restart(stage, name, source)
 
 
-async def end_and_kill_node(stage: Stage) -> None:
-    name = pick_node(stage)
+async def end_and_kill_node(stage: Stage, source: Random) -> None:
+    name = pick_node(stage, source)
     with stage.disturbed(name):
         ending = await curio.spawn(stage.nodes[name].end)
-        await curio.sleep(stage.source.uniform(*IMPATIENCE))
+        await curio.sleep(source.uniform(*IMPATIENCE))
         stage.nodes[name].kill()
         await ending.join()
-        await restart(stage, name)
+        await restart(stage, name, source)
 
 
-async def reload_nodes(stage: Stage) -> None:
+async def reload_nodes(stage: Stage, source: Random) -> None:
     """Change the seeds in the settings of all nodes."""
     controls = [node.control for node in stage.nodes.values()]
-    stage.source.shuffle(controls)
+    source.shuffle(controls)
     for node in stage.nodes.values():
         node.seeds = tuple(controls[:2])
         node.reload()
 
 
-async def disturb_store(stage: Stage) -> None:
+async def disturb_store(stage: Stage, source: Random) -> None:
     """Let the store fail; records of runners may lapse meanwhile."""
     lapsed = [
         identity
         for service in SERVICES
         for identity in stage.living(service)
-        if stage.source.random() < 0.5
+        if source.random() < 0.5
     ]
     with stage.disturbed(CORE):
-        stage.store.mode = stage.source.choice(STORE_MODES)
-        await last(stage)
+        stage.store.mode = source.choice(STORE_MODES)
+        await last(source)
         for identity in lapsed:
             stage.store.drop(f'servers/{identity}')
         stage.store.mode = ''
-        await curio.sleep(stage.source.uniform(0, RENEW_SECONDS))
+        await curio.sleep(source.uniform(0, RENEW_SECONDS))
         for identity in lapsed:
             if identity not in stage.left_at:
                 stage.register(identity)
 
 
-async def lose_store_writes(stage: Stage) -> None:
+async def lose_store_writes(stage: Stage, source: Random) -> None:
     with stage.disturbed(CORE):
         stage.store.lose_writes = True
-        await last(stage)
+        await last(source)
         stage.store.lose_writes = False
 
 
-async def deafen_watches(stage: Stage) -> None:
+async def deafen_watches(stage: Stage, source: Random) -> None:
     with stage.disturbed(CORE):
         stage.store.deaf = True
-        await last(stage)
+        await last(source)
         stage.store.deaf = False
 
 
-async def compact_store(stage: Stage) -> None:
+async def compact_store(stage: Stage, source: Random) -> None:
     with stage.disturbed(CORE):
         stage.store.compact()
 
 
-async def change_link(stage: Stage, kind: str, scope: str) -> None:
+async def change_link(
+    stage: Stage, source: Random, kind: str, scope: str
+) -> None:
     names = sorted(name for name in stage.links if name.startswith(kind))
-    link = stage.links[stage.source.choice(names)]
+    link = stage.links[source.choice(names)]
     with stage.disturbed(scope):
-        await link.control({'mode': stage.source.choice(LINK_MODES)})
-        await last(stage)
+        await link.control({'mode': source.choice(LINK_MODES)})
+        await last(source)
         await link.control({'mode': 'open'})
 
 
-async def disturb_store_link(stage: Stage) -> None:
-    await change_link(stage, 'store', CORE)
+async def disturb_store_link(stage: Stage, source: Random) -> None:
+    await change_link(stage, source, 'store', CORE)
 
 
-async def disturb_peer_link(stage: Stage) -> None:
-    await change_link(stage, 'peer', CORE)
+async def disturb_peer_link(stage: Stage, source: Random) -> None:
+    await change_link(stage, source, 'peer', CORE)
 
 
-async def disturb_runner_link(stage: Stage) -> None:
-    await change_link(stage, 'runner', 'runner')
+async def disturb_runner_link(stage: Stage, source: Random) -> None:
+    await change_link(stage, source, 'runner', 'runner')
 
 
-async def silence_connections(stage: Stage) -> None:
+async def silence_connections(stage: Stage, source: Random) -> None:
     """Make the open connections of one link silent for good."""
-    link = stage.links[stage.source.choice(sorted(stage.links))]
+    link = stage.links[source.choice(sorted(stage.links))]
     with stage.disturbed(CORE, 'runner'):
         await link.control({'mode': 'silent'})
 
 
-async def end_runner(stage: Stage) -> None:
+async def end_runner(stage: Stage, source: Random) -> None:
     """Let a runner end without notice; another one comes."""
-    service = stage.source.choice(SERVICES)
-    identity = stage.source.choice(stage.living(service))
+    service = source.choice(SERVICES)
+    identity = source.choice(stage.living(service))
     with stage.disturbed('runner'):
         await stage.remove_runner(identity)
         await stage.add_runner(service)
 
 
-async def reclaim_runner(stage: Stage) -> None:
+async def reclaim_runner(stage: Stage, source: Random) -> None:
     """Take a runner away with notice; its address serves another service."""
-    service = stage.source.choice(SERVICES)
-    identity = stage.source.choice(stage.living(service))
+    service = source.choice(SERVICES)
+    identity = source.choice(stage.living(service))
     with stage.disturbed('runner'):
         stage.left_at[identity] = boot_seconds()
         stage.register(identity, 'draining')
         await stage.add_runner(service)
-        await curio.sleep(stage.source.uniform(*NOTICES))
+        await curio.sleep(source.uniform(*NOTICES))
         address = stage.world.runners[identity].address
         await stage.remove_runner(identity)
         await curio.sleep(RENEW_SECONDS)
-        await stage.add_runner(stage.source.choice(SERVICES), address)
+        await stage.add_runner(source.choice(SERVICES), address)
 
 
-async def spoil_answers(stage: Stage) -> None:
-    identity = stage.source.choice(stage.living('plain'))
+async def spoil_answers(stage: Stage, source: Random) -> None:
+    identity = source.choice(stage.living('plain'))
     runner = stage.world.runners[identity]
     with stage.disturbed('runner'):
-        runner.faults_left = stage.source.randint(*FAULTY_ANSWERS)
-        runner.fault = stage.source.choice(RUNNER_FAULTS)
-        await last(stage)
+        runner.faults_left = source.randint(*FAULTY_ANSWERS)
+        runner.fault = source.choice(RUNNER_FAULTS)
+        await last(source)
         runner.fault = ''
 
 
-async def change_configuration(stage: Stage) -> None:
+async def change_configuration(stage: Stage, source: Random) -> None:
     stage.write_configuration()
 
 
-async def revoke_key(stage: Stage) -> None:
+async def revoke_key(stage: Stage, source: Random) -> None:
     """Replace the key of the clients; the former one is revoked later."""
     former = stage.keys[-1]
     stage.keys.append(f'key-{len(stage.keys) + len(stage.revoked) + 1}')
     stage.write_configuration()
-    await last(stage)
+    await last(source)
     if former in stage.keys:
         stage.keys.remove(former)
         stage.write_configuration()
@@ -214,7 +216,7 @@
 @dataclass(frozen=True)
 class Fault:
     name: str
-    bring_about: Callable[[Stage], Awaitable[None]]
+    bring_about: Callable[[Stage, Random], Awaitable[None]]
 
 
 FAULTS = tuple(
@@ -245,5 +247,5 @@
 PER_ROUND = (3, 6)
 
 
-def draw_faults(source: random.Random) -> list[Fault]:
+def draw_faults(source: Random) -> list[Fault]:
     return source.choices(FAULTS, k=source.randint(*PER_ROUND))
--- a/features/support/fleet_soak/load.py
+++ b/features/support/fleet_soak/load.py
@@ -1,8 +1,8 @@
 """Clients of a soak: they ask the directory and keep their connections."""
 
-import random
 from dataclasses import dataclass, field
 from itertools import count
+from random import Random
 from typing import Any
 
 import curio
@@ -54,7 +54,7 @@
     """The requests of all clients; `stopping` lets them end."""
 
     stage: Stage
-    source: random.Random
+    source: Random
     asked: list[Asked] = field(default_factory=list)
     stopping: bool = False
     numbers: Any = field(default_factory=count)
--- a/features/support/fleet_soak/soak.py
+++ b/features/support/fleet_soak/soak.py
@@ -1,6 +1,8 @@
 """One soak: rounds of failures under load, recovery, and the checks."""
 
 from collections import Counter
+from itertools import count
+from random import Random
 
 import click
 import curio
@@ -27,18 +29,13 @@
 PROBE_SECONDS = 0.2
 
 
-async def run_rounds(stage: Stage, seconds: float) -> None:
+async def run_rounds(stage: Stage, seed: int, seconds: float) -> None:
     """Bring about rounds of failures until the time has passed."""
     ends_at = boot_seconds() + seconds
-    while True:
+    for number in count():
         tasks = [
-            await curio.spawn(
-                bring_about,
-                stage,
-                fault,
-                stage.source.uniform(0, SPREAD_SECONDS),
-            )
-            for fault in draw_faults(stage.source)
+            await curio.spawn(bring_about, stage, fault, source)
+            for fault, source in draw_round(seed, number)
         ]
         for task in tasks:
             await task.join()
@@ -47,10 +44,22 @@
             return
 
 
-async def bring_about(stage: Stage, fault: Fault, delay: float) -> None:
-    await curio.sleep(delay)
+def draw_round(seed: int, number: int) -> list[tuple[Fault, Random]]:
+    """Return the failures of a round, each with draws of its own.
+
+    What one draws does not depend on when the others and the clients do.
+    """
+    faults = draw_faults(Random(f'{seed} {number}'))
+    return [
+        (fault, Random(f'{seed} {number} {place}'))
+        for place, fault in enumerate(faults)
+    ]
+
+
+async def bring_about(stage: Stage, fault: Fault, source: Random) -> None:
+    await curio.sleep(source.uniform(0, SPREAD_SECONDS))
     click.echo(f'{boot_seconds():.2f}  {fault.name}')
-    await fault.bring_about(stage)
+    await fault.bring_about(stage, source)
 
 
 async def recover(clients: Clients) -> dict[str, float]:
@@ -76,12 +85,12 @@
 async def soak(
     launcher: Launcher, seed: int, seconds: float, nodes: int, runners: int
 ) -> Evidence:
-    stage = await open_stage(launcher, seed, nodes, runners)
-    clients = Clients(stage, stage.source)
+    stage = await open_stage(launcher, nodes, runners)
+    clients = Clients(stage, Random(seed))
     try:
         load = await curio.spawn(clients.run)
         await curio.sleep(CALM_SECONDS)
-        await run_rounds(stage, seconds)
+        await run_rounds(stage, seed, seconds)
         recovered = await recover(clients)
         clients.stopping = True
         await load.join()
--- a/features/support/fleet_soak/stage.py
+++ b/features/support/fleet_soak/stage.py
@@ -1,7 +1,6 @@
 """The deployment of a soak: nodes, store, runners, and links between them."""
 
 import json
-import random
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -91,7 +90,6 @@
 
     launcher: Launcher
     directory: Path
-    source: random.Random
     store: SoakStore
     world: World
     nodes: dict[str, NodeProcess] = field(default_factory=dict)
@@ -239,16 +237,13 @@
             await task.cancel()
 
 
-def create_stage(launcher: Launcher, seed: int) -> Stage:
+def create_stage(launcher: Launcher) -> Stage:
     store = SoakStore()
-    source = random.Random(seed)
-    return Stage(launcher, launcher.directory, source, store, World(store))
+    return Stage(launcher, launcher.directory, store, World(store))
 
 
-async def open_stage(
-    launcher: Launcher, seed: int, nodes: int, runners: int
-) -> Stage:
+async def open_stage(launcher: Launcher, nodes: int, runners: int) -> Stage:
     """Return a deployment that serves."""
-    stage = create_stage(launcher, seed)
+    stage = create_stage(launcher)
     await stage.open(nodes, runners)
     return stage
--- a/features/support/fleet_soak/store_calls.py
+++ b/features/support/fleet_soak/store_calls.py
@@ -31,7 +31,7 @@
 
 async def count(size: int) -> None:
     launcher = create_launcher()
-    stage = await open_stage(launcher, 1, size, RUNNERS)
+    stage = await open_stage(launcher, size, RUNNERS)
     try:
         for state in STATES:
             await change(stage, state)
