--- /dev/null
+++ b/features/steps/forwarding_crashes_steps.py
@@ -0,0 +1,202 @@
+"""Steps for requests that crash the endpoints that run them."""
+
+from functools import partial
+from itertools import cycle
+from uuid import uuid4
+
+import curio
+from behave import then, when
+from behave.runner import Context
+from hypothesis import given as given_drawn
+from hypothesis import seed, settings
+from hypothesis import strategies as drawn
+
+from support.fleet.scenario import run
+from support.fleet.world import Answer, World
+from turmericyard_decisions.strikes import STRIKE_LIMIT, StrikeBook
+
+DEADLY = b'deadly'
+SEED = 1
+#: Time between two attempts of a client, in seconds.
+PAUSE_SECONDS = 0.3
+BESIDE = 12
+
+
+def make_deadly(world: World) -> None:
+    for runner in world.runners.values():
+        runner.crashing.add(DEADLY)
+
+
+async def send_deadly(world: World, target: str, times: int) -> list[Answer]:
+    make_deadly(world)
+    answers = []
+    nodes = cycle(world.nodes)
+    for _ in range(times):
+        answers.append(
+            await world.ask(
+                next(nodes), target, f'at-{uuid4().hex}', body=DEADLY
+            )
+        )
+        await curio.sleep(PAUSE_SECONDS)
+    return answers
+
+
+def crashed(world: World) -> int:
+    return sum(len(runner.crashes) for runner in world.runners.values())
+
+
+@when(
+    'a client sends a request that crashes endpoints {times:d} times to all'
+    ' nodes in turn'
+)
+def step_deadly(context: Context, times: int) -> None:
+    async def scenario(world: World) -> None:
+        context.answers = await send_deadly(world, '/write/a', times)
+        context.crashed = crashed(world)
+        context.others = [
+            await world.ask(node, '/write/a', f'at-other-{node}')
+            for node in world.nodes
+        ]
+
+    run(context, scenario)
+
+
+@when(
+    'a client sends an idempotent request that crashes endpoints {times:d} times'
+)
+def step_idempotent(context: Context, times: int) -> None:
+    async def scenario(world: World) -> None:
+        context.answers = await send_deadly(world, '/read/a', times)
+        context.crashed = crashed(world)
+
+    run(context, scenario)
+
+
+@then('{number:d} endpoints crashed')
+def step_crashed(context: Context, number: int) -> None:
+    assert context.crashed == number, (context.crashed, context.answers)
+
+
+@then('its last answers say that it has not run and when to come back')
+def step_refused(context: Context) -> None:
+    for answer in context.answers[STRIKE_LIMIT:]:
+        assert answer.status == 503, answer
+        assert float(answer.headers['retry-after']) > 0, answer
+
+
+@then('requests with other bodies are served by every node')
+def step_others(context: Context) -> None:
+    assert {each.status for each in context.others} == {200}, context.others
+
+
+@when('other requests run at each endpoint that it crashes and come again')
+def step_beside(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        make_deadly(world)
+        for runner in world.runners.values():
+            runner.event_seconds = 0.2
+        bodies = [b'sound-%d' % number for number in range(BESIDE)]
+        for _ in range(2 * STRIKE_LIMIT):
+            beside = [
+                await curio.spawn(
+                    partial(
+                        world.ask,
+                        'n-0',
+                        '/write/a',
+                        f'at-{uuid4().hex}',
+                        body=body,
+                    )
+                )
+                for body in bodies
+            ]
+            await curio.sleep(0.1)
+            await world.ask('n-1', '/write/a', f'at-{uuid4().hex}', body=DEADLY)
+            for task in beside:
+                await task.join()
+            await curio.sleep(PAUSE_SECONDS)
+        context.answers = [
+            await world.ask('n-1', '/write/a', f'at-{uuid4().hex}', body=body)
+            for body in bodies
+        ]
+
+    run(context, scenario)
+
+
+@then('those are all answered {status:d}')
+def step_all_answered(context: Context, status: int) -> None:
+    found = {each.status for each in context.answers}
+    assert found == {status}, context.answers
+
+
+@when('a client makes the same call {times:d} times')
+def step_same(context: Context, times: int) -> None:
+    async def scenario(world: World) -> None:
+        for number in range(times):
+            await world.ask('n-0', '/write/a', f'at-{number}')
+        context.times = times
+        context.arrived = sum(
+            len(runner.arrivals) for runner in world.runners.values()
+        )
+
+    run(context, scenario)
+
+
+@then('each call reached an endpoint')
+def step_reached(context: Context) -> None:
+    assert context.arrived >= context.times, context.arrived
+
+
+MARKS = drawn.sampled_from((b'm-1', b'm-2'))
+HISTORY = drawn.lists(
+    drawn.tuples(
+        drawn.sampled_from(('crash', 'completion')),
+        MARKS,
+        drawn.integers(0, 2),
+        drawn.integers(1, 4),
+    ),
+    max_size=12,
+)
+
+
+@when('{number:d} drawn histories of strikes and completions reach three books')
+def step_histories(context: Context, number: int) -> None:
+    context.histories = 0
+
+    def play(history: list[tuple[str, bytes, int, int]]) -> None:
+        books = [StrikeBook(partial(float, 0)) for _ in range(3)]
+        told = []
+        for kind, mark, node, together in history:
+            sent = books[node].known(mark)
+            if kind == 'crash':
+                # So many runs of it were under way, each at another endpoint.
+                told.extend(books[node].strike(sent) for _ in range(together))
+                assert books[node].known(mark).count == sent.count + 1
+            else:
+                told.append(books[node].clear(sent))
+        news = [strike for strike in told if strike is not None]
+        for place, book in enumerate(books):
+            for strike in news if place else reversed(news):
+                book.merge(strike)
+        found = {
+            tuple(book.known(mark) for mark in (b'm-1', b'm-2'))
+            for book in books
+        }
+        assert len(found) == 1, (history, found)
+        context.histories += 1
+
+    checked = settings(max_examples=number, deadline=None, database=None)
+    seed(SEED)(checked(given_drawn(HISTORY)(play)))()
+
+
+@then('all books agree when they have heard the same')
+def step_agree(context: Context) -> None:
+    assert context.histories >= 100
+
+
+@then('no request is refused that was under way at several crashes at once')
+def step_once(context: Context) -> None:
+    book = StrikeBook(partial(float, 0))
+    sent = book.known(b'm')
+    for _ in range(STRIKE_LIMIT + 1):
+        book.strike(sent)
+    assert not book.refuses(b'm')
--- a/features/steps/forwarding_hub_places_steps.py
+++ b/features/steps/forwarding_hub_places_steps.py
@@ -13,7 +13,7 @@
 from support.fleet.scenario import PROMPT, run
 from support.fleet.world import World
 from turmericyard_node.forwarding.answers import FleetEvidence
-from turmericyard_node.forwarding.hub import GRANT_SECONDS, Hub
+from turmericyard_node.forwarding.hub import GRANT_SECONDS, create_hub
 from turmericyard_node.forwarding.load_book import Total
 from turmericyard_protocol.fleet_messages import (
     CopyPlaceRequest,
@@ -103,7 +103,7 @@
 
     def play(steps: list[Any]) -> None:
         now = 0.0
-        hub = Hub(
+        hub = create_hub(
             None,
             None,
             None,
--- /dev/null
+++ b/features/steps/forwarding_leaving_signs_steps.py
@@ -0,0 +1,127 @@
+"""Steps for endpoints that say in their answers that they leave."""
+
+from collections.abc import Iterable
+from uuid import uuid4
+
+import curio
+from behave import then, when
+from behave.runner import Context
+
+from support.fleet.scenario import run
+from support.fleet.world import World
+
+#: Calls that show whether an endpoint still gets any.
+PROBES = 12
+LEAVING = 'i-0'
+SPREAD_SECONDS = 0.5
+
+
+async def until_seen(world: World, node: str = 'n-0') -> None:
+    """Call until the leaving endpoint has answered the node once."""
+    runner = world.runners[LEAVING]
+    runner.leaving = True
+    before = len(runner.ran)
+    while len(runner.ran) == before:
+        await world.ask(node, '/write/a', f'at-{uuid4().hex}')
+
+
+async def probe(world: World, nodes: Iterable[str]) -> int:
+    """Return how many of some calls to each node reach the endpoint."""
+    runner = world.runners[LEAVING]
+    before = len(runner.arrivals)
+    for node in nodes:
+        for _ in range(PROBES):
+            answer = await world.ask(node, '/write/a', f'at-{uuid4().hex}')
+            assert answer.status == 200, answer
+    return len(runner.arrivals) - before
+
+
+@when('an endpoint says that it leaves while the store is down')
+def step_store_down(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        world.store.mode = 'busy'
+        await until_seen(world)
+        context.reached = await probe(world, ['n-0'])
+        await curio.sleep(SPREAD_SECONDS)
+        context.reached_any = await probe(world, world.nodes)
+
+    run(context, scenario)
+
+
+@when(
+    'an endpoint says that it leaves while the store is down and a node joins'
+)
+def step_joins(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        world.store.mode = 'busy'
+        await until_seen(world)
+        await curio.sleep(SPREAD_SECONDS)
+        await world.add_node('n-9')
+        await world.until(world.nodes['n-9'].is_ready)
+        context.reached_new = await probe(world, ['n-9'])
+
+    run(context, scenario)
+
+
+@when('an endpoint says that it leaves and its record is renewed as ready')
+def step_renewed(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        await until_seen(world)
+        world.register(LEAVING, 'plain')
+        node = world.nodes['n-0']
+        revision = world.store.revision
+        await world.until(lambda: node.knowledge.view.revision >= revision)
+        context.reached = await probe(world, ['n-0'])
+
+    run(context, scenario)
+
+
+@when('an endpoint says that it leaves and starts anew')
+def step_anew(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        await until_seen(world)
+        world.runners[LEAVING].leaving = False
+        world.register(LEAVING, 'plain', born=2)
+        book = world.nodes['n-0'].knowledge.book
+        await world.until(lambda: book.endpoints[LEAVING].record.born == 2)
+        context.reached = await probe(world, ['n-0'])
+
+    run(context, scenario)
+
+
+@when('that one says that it leaves')
+def step_other(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        runner = world.runners[LEAVING]
+        runner.leaving = True
+        while not runner.arrivals:
+            await world.ask('n-0', '/write/a', f'at-{uuid4().hex}')
+        book = world.nodes['n-0'].knowledge.book
+        context.leaving_since = book.endpoints[LEAVING].leaving_since
+
+    run(context, scenario)
+
+
+@then('the expected endpoint is not taken as leaving')
+def step_not_leaving(context: Context) -> None:
+    assert context.leaving_since is None
+
+
+@then('it gets no request of the node that passed this on')
+def step_nothing(context: Context) -> None:
+    assert context.reached == 0, context.reached
+
+
+@then('it gets requests again')
+def step_again(context: Context) -> None:
+    assert context.reached > 0
+
+
+@then('it gets no request of any node within 0.5 seconds')
+def step_none(context: Context) -> None:
+    assert context.reached_any == 0, context.reached_any
+
+
+@then('it gets no request of the new node')
+def step_none_new(context: Context) -> None:
+    assert context.reached_new == 0, context.reached_new
--- /dev/null
+++ b/features/support/fleet/endless.py
@@ -0,0 +1,76 @@
+"""An endpoint that sends bytes without end that are no answer."""
+
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
+
+HEAD = b'HTTP/1.1 200 OK\r\n'
+ECHO = (
+    b'x-turmericyard-attempt-id: at-%d\r\nx-turmericyard-response-seal: s\r\n'
+)
+CHUNKED = b'transfer-encoding: chunked\r\n\r\n'
+PIECE = b'a' * 8192
+PIECE_CHUNK = b'2000\r\n' + PIECE + b'\r\n'
+#: Time between two bytes of an endpoint that drips, in seconds.
+DRIP_SECONDS = 0.1
+#: What is sent first, and then again and again.
+KINDS = {
+    'a head': (HEAD + b'x: ', PIECE),
+    'interim answers': (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 100),
+    'garbage': (b'', PIECE),
+    'a body with a length': (
+        HEAD + ECHO % 0 + b'content-length: 99999999999\r\n\r\n',
+        PIECE,
+    ),
+    'a body in chunks': (HEAD + ECHO % 0 + CHUNKED, PIECE_CHUNK),
+    'a body until its end': (HEAD + ECHO % 0 + b'\r\n', PIECE),
+    'a chunk size': (HEAD + ECHO % 0 + CHUNKED, b'0' * 8192),
+    'an event': (
+        HEAD
+        + ECHO % 0
+        + b'content-type: text/event-stream\r\n'
+        + CHUNKED
+        + b'6\r\nid: 1\n\r\n',
+        PIECE_CHUNK,
+    ),
+    'an event, byte by byte': (
+        HEAD
+        + ECHO % 0
+        + b'content-type: text/event-stream\r\n'
+        + CHUNKED
+        + b'6\r\nid: 1\n\r\n',
+        b'1\r\na\r\n',
+    ),
+}
+
+
+@dataclass
+class EndlessRunner:
+    """Serves each connection with bytes of one kind; counts what it sent."""
+
+    kind: str
+    sent: int = 0
+    #: Connections that the other side closed.
+    closed: int = 0
+    tasks: list[Any] = field(default_factory=list)
+
+    async def serve(self, listener: Any) -> None:
+        async with listener:
+            while True:
+                sock, _ = await listener.accept()
+                await curio.spawn(self.flood, sock, daemon=True)
+
+    async def flood(self, sock: Any) -> None:
+        first, again = KINDS[self.kind]
+        async with sock:
+            with suppress(OSError):
+                await sock.recv(65_536)
+                await sock.sendall(first)
+                while True:
+                    await sock.sendall(again)
+                    self.sent += len(again)
+                    slow = len(again) < 100
+                    await curio.sleep(DRIP_SECONDS if slow else 0)
+        self.closed += 1
--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -1,14 +1,19 @@
 """A runner of the platform: streams, plain answers, copies, and its faults."""
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 import curio
 
 from turmericyard_http.clock import boot_seconds
-from turmericyard_http.messages import OpaqueResponse, Request, json_response
+from turmericyard_http.messages import (
+    Headers,
+    OpaqueResponse,
+    Request,
+    json_response,
+)
 
 SEAL = (b'x-turmericyard-response-seal', b'seal')
 COPY_SECONDS = 0.05
@@ -51,8 +56,23 @@
     copies: dict[str, Made] = field(default_factory=dict)
     ended: bool = False
     no_room: bool = False
+    #: All its answers say that it leaves.
+    leaving: bool = False
+    #: What it asks for where it turns requests away, in seconds.
+    rest_seconds: float | None = None
+    #: Requests with one of these bodies crash it.
+    crashing: set[bytes] = field(default_factory=set)
+    crashes: list[str] = field(default_factory=list)
+    #: Ends the runner and starts it anew.
+    crash: Callable[[str], Awaitable[None]] | None = None
 
     async def answer(self, request: Request) -> Any:
+        answer = await self.answer_kind(request)
+        if self.leaving and isinstance(answer, OpaqueResponse):
+            answer.lines = (*answer.lines, (b'server-leaving', b'1'))
+        return answer
+
+    async def answer_kind(self, request: Request) -> Any:
         if request.path == '/-/kv-move':
             return await self.move(json.loads(request.body))
         if request.path.startswith('/-/kv-handle/'):
@@ -68,14 +88,24 @@
         fault = self.take_fault()
         if headers.get('x-turmericyard-expect-instance') != self.identity:
             return OpaqueResponse(421, (echo,))
+        if request.body in self.crashing and self.crash is not None:
+            self.crashes.append(attempt)
+            await self.crash(self.identity)
+            await curio.sleep(1000)
         if fault == 'full':
-            not_run = (b'x-turmericyard-not-executed', b'1')
-            return OpaqueResponse(503, (echo, not_run))
+            return OpaqueResponse(503, (echo, *self.not_run()))
         if request.path.startswith('/stream'):
             await curio.sleep(self.head_seconds)
             return self.stream(headers, attempt, echo, fault)
         return await self.call(request, attempt, echo, fault)
 
+    def not_run(self) -> Headers:
+        """Return the lines of a request that is turned away."""
+        lines = [(b'x-turmericyard-not-executed', b'1')]
+        if self.rest_seconds is not None:
+            lines.append((b'retry-after', b'%g' % self.rest_seconds))
+        return tuple(lines)
+
     def take_fault(self) -> str:
         if not self.fault or self.faults_left <= 0:
             return ''
--- a/features/support/fleet/world.py
+++ b/features/support/fleet/world.py
@@ -1,7 +1,9 @@
 """Nodes, store, runners and clients in one loop of one scenario."""
 
+import socket as system_socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import curio
@@ -13,6 +15,7 @@
 from turmericyard_fleet import create_border
 from turmericyard_http.answer_writer import Limits
 from turmericyard_http.connection import ClientConnection, connect
+from turmericyard_http.exchange import shut_down
 from turmericyard_http.messages import Headers
 from turmericyard_http.server import HttpServer, open_listener
 from turmericyard_node.forwarding.application import ForwardingApplication
@@ -22,6 +25,8 @@
 HOST = 'shop.example'
 KEY = 'key-1'
 READY_SECONDS = 6.0
+#: How long a runner is away that crashed.
+CRASH_SECONDS = 1.0
 LIMIT_SECONDS = 40
 
 
@@ -99,9 +104,11 @@
     tasks: list[Any] = field(default_factory=list)
     store_address: str = ''
     by_address: dict[str, FleetRunner] = field(default_factory=dict)
+    #: Starts of runners that crashed.
+    births: int = 0
 
-    async def serve(self, name: str, handler: Any) -> str:
-        listener = open_listener(LOOPBACK, free_port())
+    async def serve(self, name: str, handler: Any, port: int = 0) -> str:
+        listener = open_listener(LOOPBACK, port or free_port())
         address = f'{LOOPBACK}:{listener.getsockname()[1]}'
         server = HttpServer(listener, handler, Limits(watch_client=True))
         self.servers[name] = server
@@ -115,6 +122,7 @@
     async def add_runner(self, identity: str, service: str) -> FleetRunner:
         runner = FleetRunner(identity, peers=self.by_address)
         runner.address = await self.serve(identity, runner.answer)
+        runner.crash = partial(self.crash_runner, service=service)
         self.by_address[runner.address] = runner
         self.runners[identity] = runner
         self.register(identity, service)
@@ -135,6 +143,22 @@
         }
         self.store.put(f'servers/{identity}', record)
 
+    async def crash_runner(self, identity: str, *, service: str) -> None:
+        """End a runner at once; it is back later, as a new start."""
+        runner = self.runners[identity]
+        self.births += 1
+        server = self.servers.pop(identity)
+        await curio.spawn(self.restart_runner, runner, service, daemon=True)
+        server.state.finishing = True
+        await shut_down(server.listener, system_socket.SHUT_RDWR)
+        await curio.spawn(server.close, daemon=True)
+
+    async def restart_runner(self, runner: FleetRunner, service: str) -> None:
+        await curio.sleep(CRASH_SECONDS)
+        port = int(runner.address.rpartition(':')[2])
+        await self.serve(runner.identity, runner.answer, port)
+        self.register(runner.identity, service, born=self.births)
+
     async def end_runner(self, identity: str) -> None:
         """End a runner: its connections break and no new one is accepted."""
         self.runners[identity].ended = True
--- a/packages/turmericyard-bench/src/turmericyard_bench/costs/hub_places.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/costs/hub_places.py
@@ -14,7 +14,7 @@
 from turmericyard_decisions.outlier import LATEST_WEIGHT
 from turmericyard_http.clock import boot_seconds
 from turmericyard_node.forwarding.answers import FleetEvidence
-from turmericyard_node.forwarding.hub import Hub
+from turmericyard_node.forwarding.hub import create_hub
 from turmericyard_node.forwarding.knowledge import Knowledge
 from turmericyard_node.forwarding.load_book import LoadBook
 from turmericyard_node.forwarding.placer import Placer
@@ -116,7 +116,7 @@
     """Return milliseconds a beat taken, a place given, and a beat's bytes."""
     source = Random(size.nodes)
     nothing = cast('Any', None)
-    hub = Hub(nothing, nothing, nothing, clock, create_evidence())
+    hub = create_hub(nothing, nothing, nothing, clock, create_evidence())
     beats = [create_beat(size, source) for _ in range(size.nodes)]
     began = perf_counter()
     for number, beat in enumerate(beats):
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/event_splice.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/event_splice.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 
 END_OF_EVENT = re.compile(rb'\r?\n\r?\n')
+#: Longest event: a sound one holds a few tokens.
+MAX_EVENT_BYTES = 262_144
 EVENT_ID = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
 
 
@@ -15,6 +17,10 @@
     """The stream goes on behind an event that was never delivered."""
 
 
+class EventTooLong(Exception):
+    """An event has no end within any sound length."""
+
+
 @dataclass(slots=True)
 class EventSplice:
     """The events of a generation over all its streams.
@@ -30,7 +36,8 @@
     def feed(self, piece: bytes) -> bytes:
         """Return the whole events that a piece completes.
 
-        Raises EventMissing when an event is missing after a continuation.
+        Raises EventMissing when an event is missing after a continuation, and
+        EventTooLong past `MAX_EVENT_BYTES`.
         """
         data = self.rest + piece if self.rest else piece
         passed = []
@@ -41,6 +48,8 @@
             if self.admit(event):
                 passed.append(event)
         self.rest = data[start:]
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise EventTooLong(f'{len(self.rest)} bytes without an end')
         return b''.join(passed)
 
     def admit(self, event: bytes) -> bool:
--- a/packages/turmericyard-http/src/turmericyard_http/connection.py
+++ b/packages/turmericyard-http/src/turmericyard_http/connection.py
@@ -2,7 +2,7 @@
 
 import select
 import socket as system_socket
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from functools import lru_cache
 from typing import Any
@@ -14,10 +14,19 @@
 
 RECEIVE_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
+#: Longest body that is held whole: pages of the platform's store, the longest
+#: sound answers, have about 1 MB.
+MAX_BODY_BYTES = 8_388_608
+#: Interim answers (status 1xx) before the answer itself.
+MAX_INTERIM_ANSWERS = 16
 #: Heads of recent requests that are kept to be sent again.
 KEPT_HEADS = 512
 
 
+class AnswerTooLong(EOFError):
+    """The answer is longer than any sound one."""
+
+
 class ClientConnection:
     """The client side of one connection; carries one exchange at a time."""
 
@@ -72,7 +81,7 @@
 
     async def read_lines(self) -> tuple[int, Headers]:
         """Return status and header lines; raises as `read_head`."""
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
             event = await self.next_event()
             if isinstance(event, h11.Response):
                 return event.status_code, tuple(
@@ -80,6 +89,7 @@
                 )
             if isinstance(event, h11.ConnectionClosed):
                 raise EOFError('connection closed before the answer')
+        raise AnswerTooLong('too many interim answers')
 
     async def read_data(self) -> bytes:
         """Return the next piece of the body, empty at its end."""
@@ -100,23 +110,16 @@
             raise EOFError(str(error) or type(error).__name__) from error
 
     async def read_rest(self) -> bytes:
-        """Return the rest of the body; raises as `read_piece`."""
-        parts = bytearray()
-        piece = await self.read_piece()
-        while piece:
-            parts += piece
-            piece = await self.read_piece()
-        return bytes(parts)
+        """Return the rest of the body; raises as `read_piece`.
+
+        Raises AnswerTooLong past `MAX_BODY_BYTES`.
+        """
+        return await gather(self.read_piece)
 
     async def read_response(self) -> Response:
         """Return the whole response; raises EOFError when cut short."""
         status, headers = await self.read_head()
-        parts = bytearray()
-        piece = await self.read_data()
-        while piece:
-            parts += piece
-            piece = await self.read_data()
-        return Response(status, headers, bytes(parts))
+        return Response(status, headers, await gather(self.read_data))
 
     async def next_event(self) -> Any:
         """Return the next h11 event, reading as needed."""
@@ -152,6 +155,18 @@
             await self.sock.close()
 
 
+async def gather(read: Callable[[], Awaitable[bytes]]) -> bytes:
+    """Return all pieces until an empty one, as far as the bound goes."""
+    parts = bytearray()
+    piece = await read()
+    while piece:
+        parts += piece
+        if len(parts) > MAX_BODY_BYTES:
+            raise AnswerTooLong(f'a body of over {MAX_BODY_BYTES} bytes')
+        piece = await read()
+    return bytes(parts)
+
+
 def has_input(sock: Any) -> bool:
     """Return whether a read or accept would return without waiting."""
     poller = select.poll()
--- a/packages/turmericyard-http/src/turmericyard_http/errors.py
+++ b/packages/turmericyard-http/src/turmericyard_http/errors.py
@@ -16,10 +16,14 @@
 
 
 class AnswerLost(Struct, frozen=True):
-    """The request was sent, at least in part: it may have run."""
+    """The request was sent, at least in part: it may have run.
+
+    `broken` says that the connection ended, and not the time for it.
+    """
 
     address: str
     detail: str
+    broken: bool = False
 
     @property
     def message(self) -> str:
--- a/packages/turmericyard-node/src/turmericyard_node/events.py
+++ b/packages/turmericyard-node/src/turmericyard_node/events.py
@@ -48,6 +48,7 @@
     ENDPOINT_LEAVING = (504, 'endpoint:leaving')
     ENDPOINT_UNREADABLE = (505, 'endpoint:unreadable')
     ENDPOINTS_ASIDE = (506, 'endpoints:aside')
+    ENDPOINT_RESTS = (507, 'endpoint:rests')
     ORDER_GIVEN = (600, 'order:given')
     HANDLER_FAILED = (900, 'handler:failed')
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
@@ -153,7 +153,7 @@
         while True:
             await self.knowledge.news.wait()
             self.knowledge.news.clear()
-            await self.fleet.hub.news.set()
+            await self.fleet.hub.findings.wake_hub.set()
             while self.departures:
                 endpoint = self.departures.popleft()
                 await self.tasks.spawn(self.mover.leave, endpoint)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -9,6 +9,7 @@
 from turmericyard_node.forwarding.application import ForwardingApplication
 from turmericyard_node.forwarding.calls import CallForwarder
 from turmericyard_node.forwarding.continuer import Continuer
+from turmericyard_node.forwarding.crashes import CrashWatch
 from turmericyard_node.forwarding.discovery import Discovery, other_seeds
 from turmericyard_node.forwarding.entry import Entry
 from turmericyard_node.forwarding.fleet import Fleet
@@ -37,8 +38,7 @@
 ) -> ForwardingApplication:
     """Return the application of checked settings, not yet started."""
     store = border.open_store(settings)
-    now = boot_seconds()
-    contact = Contact(LIVE_SECONDS, now - LIVE_SECONDS, LIVE_SECONDS)
+    contact = create_contact()
     knowledge = create_knowledge(border, boot_seconds)
     fleet = create_fleet(settings, store, contact, knowledge)
     discovery = Discovery(fleet, border.read_settings, other_seeds(settings))
@@ -59,7 +59,8 @@
     room = WaitingRoom(
         Placement(fleet, placer, boot_seconds), boot_seconds, instruments
     )
-    intake, mover = create_forwarders(border, settings, fleet, room)
+    tasks = BackgroundTasks()
+    intake, mover = create_forwarders(border, settings, fleet, room, tasks)
     application = ForwardingApplication(
         settings,
         border,
@@ -81,7 +82,7 @@
         Entry(border, fleet, settings.bounds.address_ttl_seconds, instruments),
         mover,
         StallWatch(boot_seconds),
-        BackgroundTasks(),
+        tasks,
     )
     fleet.is_ready = application.is_ready
     knowledge.book.listeners.append(application.departures.append)
@@ -89,16 +90,30 @@
     return application
 
 
+def create_contact() -> Contact:
+    """Return the contacts of a node that has heard nobody yet."""
+    never = boot_seconds() - LIVE_SECONDS
+    return Contact(LIVE_SECONDS, never, LIVE_SECONDS)
+
+
 def create_forwarders(
     border: Border,
     settings: ForwardingSettings,
     fleet: Fleet,
     room: WaitingRoom,
+    tasks: BackgroundTasks,
 ) -> tuple[Intake, Mover]:
     """Return what carries requests and moves their runs."""
     loads = fleet.loads
     instruments = room.instruments
-    sender = Sender(border, settings.bounds, fleet, boot_seconds, instruments)
+    sender = Sender(
+        border,
+        settings.bounds,
+        fleet,
+        boot_seconds,
+        instruments,
+        CrashWatch(fleet.hub.findings, tasks),
+    )
     book = RunBook(loads)
     continuer = Continuer(sender, room.placement, loads, boot_seconds)
     streams = StreamForwarder(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
@@ -73,6 +73,8 @@
         repeatable = job.route.kind is Kind.IDEMPOTENT
         if runs and not (repeatable and runs < job.route.attempts):
             return False
+        if self.sender.crashes.refuses(job):
+            return False
         if turned_away > MAX_TURNED_AWAY or not self.sender.may_repeat(job):
             return False
         return job.seconds_left(self.clock()) > 0
@@ -101,9 +103,12 @@
                 body = await sent.read_all()
         except READ_ERRORS as error:
             self.sender.fleet.tally.observe(place, failed=True)
+            if not isinstance(error, curio.TaskTimeout):
+                await self.sender.crashes.note_break(job, place)
             return Lost(repr(error))
         finally:
             await sent.close()
+        await self.sender.crashes.note_end(job)
         return self.answer(sent, body)
 
     def answer(self, sent: Passage, body: bytes) -> Answer | Lost:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/continuer.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/continuer.py
@@ -33,6 +33,8 @@
         await run.passage.close()
         if run.job.seconds_left(self.clock()) <= 0:
             return False
+        if self.sender.crashes.refuses(run.job):
+            return False
         for endpoint, copied in self.continuations(run):
             if not self.placement.placer.knowledge.may_continue(endpoint):
                 continue
@@ -108,6 +110,7 @@
         run.backup = backup
         run.copy = None
         run.moves += 1
+        run.progress_at = self.clock()
         run.splice.restart()
         run.refresh_use()
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_book.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_book.py
@@ -11,10 +11,13 @@
 from turmericyard_decisions.repeat_budget import ColdRate
 from turmericyard_node.events import Event, log_event
 from turmericyard_ports.endpoint import EndpointRecord, EndpointState
+from turmericyard_protocol.fleet_messages import LeavingSign
 
 #: Time in which living endpoints renew lapsed records after an outage, as the
 #: platform states it, in seconds.
 LAPSE_SECONDS = 2.0
+#: Signs of leaving that are remembered: some minutes of a large fleet.
+MAX_SIGNS = 2048
 #: How long the store counts as in trouble after its last failure, in seconds.
 TROUBLE_SECONDS = 1.5
 
@@ -23,13 +26,17 @@
 class Endpoint:
     """One start of an endpoint.
 
-    `gone_at` is when a lapsed record counts as gone, None while it stands.
+    `gone_at` is when a lapsed record counts as gone, None while it stands;
+    `rests_until` is when it may get requests of this node again, and
+    `sent_in_rest` what it got of it before.
     """
 
     record: EndpointRecord
     cold_until: float = 0
     leaving_since: float | None = None
     gone_at: float | None = None
+    rests_until: float = 0
+    sent_in_rest: int = 0
     evidence: Evidence = field(default_factory=Evidence)
     cold_rate: ColdRate = field(default_factory=ColdRate)
 
@@ -44,6 +51,20 @@
             return False
         return self.gone_at is None or now < self.gone_at
 
+    def rests(self, now: float) -> bool:
+        """Return whether it asked this node to leave it alone for now."""
+        return now < self.rests_until
+
+    def rest(self, until: float) -> None:
+        """Leave it alone until a time, or longer if it asked for that."""
+        if until > self.rests_until:
+            self.rests_until = until
+            self.sent_in_rest = 0
+
+    def sign(self) -> LeavingSign:
+        """Return the sign that this start of the endpoint leaves."""
+        return LeavingSign(self.identity, self.record.address, self.record.born)
+
 
 def always_sound() -> bool:
     """Return that the store is not known to be in trouble."""
@@ -63,6 +84,9 @@
     failed_at: float = float('-inf')
     #: Whether records may be missing because the store is in trouble.
     in_trouble: Callable[[], bool] = always_sound
+    #: Signs of leaving by the endpoint's own word, the latest last. They
+    #: outlast its records: a record that is renewed may be an old one.
+    signs: dict[str, LeavingSign] = field(default_factory=dict)
 
     def observe(self, record: EndpointRecord, now: float) -> None:
         """Take over the present record of an endpoint."""
@@ -82,9 +106,35 @@
         known.cold_until = now + record.cold_seconds
         if record.state is EndpointState.LEAVING:
             self.leave(known, now, 'announced')
+        elif self.signs.get(record.identity) == known.sign():
+            self.leave(known, now, 'said so')
         elif known.leaving_since is not None:
             known.leaving_since = None
 
+    def observe_sign(self, sign: LeavingSign, now: float) -> bool:
+        """Note that an endpoint said that it leaves; return whether it is new.
+
+        The sign may come before the endpoint's record.
+        """
+        if self.signs.get(sign.identity) == sign:
+            return False
+        self.signs.pop(sign.identity, None)
+        self.signs[sign.identity] = sign
+        if len(self.signs) > MAX_SIGNS:
+            self.signs.pop(next(iter(self.signs)))
+        known = self.endpoints.get(sign.identity)
+        if known is not None and known.sign() == sign:
+            self.leave(known, now, 'said so')
+        return True
+
+    def signs_in_use(self) -> tuple[LeavingSign, ...]:
+        """Return the signs of endpoints that still have a record."""
+        return tuple(
+            sign
+            for identity, sign in self.signs.items()
+            if identity in self.endpoints
+        )
+
     def remove(self, identity: str, now: float) -> None:
         """Note that the record of an endpoint has gone."""
         known = self.endpoints.get(identity)
@@ -124,6 +174,14 @@
         for listener in self.listeners:
             listener(endpoint)
 
+    def resting(self, service: str, now: float) -> list[Endpoint]:
+        """Return the endpoints of a service that want nothing of this node."""
+        return [
+            endpoint
+            for endpoint in self.of_service(service, now)
+            if endpoint.rests(now)
+        ]
+
     def of_service(self, service: str, now: float) -> Iterable[Endpoint]:
         """Return the endpoints of a service that may get requests."""
         return [
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -110,6 +110,7 @@
             self.is_ready(),
             self.loads.tell(),
             self.tally.tell(),
+            self.hub.findings.lately(),
         )
 
     async def run_beats(self) -> None:
@@ -160,6 +161,7 @@
         told.at = self.clock()
         told.store_age = update.store_age_ms / MILLISECONDS
         told.trouble = update.trouble
+        await self.hub.findings.take(update.findings)
         if not update.whole and update.sequence > told.sequence + 1:
             told.sequence = 0
             self.knowledge.view.apply(0, to_changes(update.items))
@@ -208,6 +210,7 @@
         update = self.hub.answer(
             sender, self.membership.zone_of(sender), payload
         )
+        await self.hub.findings.take(payload.findings)
         stale = self.clock() - self.contact.store_at > STALE_SECONDS
         if stale and payload.revision > self.knowledge.view.revision:
             await self.fetch_view(sender)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
@@ -9,7 +9,7 @@
 from turmericyard_node.contact import Contact
 from turmericyard_node.forwarding.answers import AnswerTally, FleetEvidence
 from turmericyard_node.forwarding.fleet import Fleet
-from turmericyard_node.forwarding.hub import Hub
+from turmericyard_node.forwarding.hub import create_hub
 from turmericyard_node.forwarding.hub_choice import HubChoice
 from turmericyard_node.forwarding.knowledge import Knowledge
 from turmericyard_node.forwarding.load_book import LoadBook
@@ -51,8 +51,8 @@
         settings.peers.rpartition(':')[0],
     )
     evidence = FleetEvidence(boot_seconds, partial(weight_of, knowledge))
-    hub = Hub(mesh, contact, knowledge, boot_seconds, evidence)
-    loads = LoadBook(hub.others)
+    hub = create_hub(mesh, contact, knowledge, boot_seconds, evidence)
+    loads = LoadBook(hub.others, news=hub.findings.wake_beats)
     fleet = Fleet(
         membership,
         contact,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -19,11 +19,13 @@
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.contact import Contact
 from turmericyard_node.forwarding.answers import FleetEvidence
+from turmericyard_node.forwarding.findings import FindingBook, create_findings
 from turmericyard_node.forwarding.knowledge import Knowledge
 from turmericyard_node.forwarding.load_book import NOTHING, Total
 from turmericyard_node.peers.mesh import PeerMesh
 from turmericyard_protocol.fleet_messages import (
     EndpointUse,
+    Findings,
     FleetBeat,
     HubUpdate,
     StoreItem,
@@ -41,6 +43,8 @@
 #: How long a place that was given counts here: the node tells of the run as
 #: soon as it has the place.
 GRANT_SECONDS = 0.25
+#: Nothing was found out by answers.
+NO_FINDINGS = Findings()
 #: A store that never answered, in seconds.
 LONGEST_AGE_SECONDS = 3600.0
 
@@ -58,6 +62,7 @@
     knowledge: Knowledge
     clock: Clock
     evidence: FleetEvidence
+    findings: FindingBook
     heard: dict[str, tuple[float, FleetBeat]] = field(default_factory=dict)
     others: dict[str, Total] = field(default_factory=dict)
     #: Grows with each update; starts above that of any process before.
@@ -74,7 +79,6 @@
     items: list[StoreItem] = field(default_factory=list)
     #: Places given, until the nodes' beats tell of them.
     granted: deque[tuple[float, EndpointUse]] = field(default_factory=deque)
-    news: curio.Event = field(default_factory=curio.Event)
 
     def observe(self, change: Change) -> None:
         """Keep a change of the store for the next update."""
@@ -128,6 +132,7 @@
                 StoreItem(entry.key, entry.value, entry.revision)
                 for entry in self.knowledge.view.items.values()
             ),
+            findings=self.findings.everything(),
         )
 
     def told_revision(self) -> int:
@@ -141,6 +146,7 @@
         members: tuple[tuple[str, bool], ...],
         aside: tuple[tuple[str, str], ...] | None,
         items: tuple[StoreItem, ...],
+        findings: Findings = NO_FINDINGS,
     ) -> HubUpdate:
         """Return an update with the state of the store."""
         now = self.clock()
@@ -154,6 +160,7 @@
             int(age * MILLISECONDS),
             self.knowledge.book.has_failed(now),
             items,
+            findings,
         )
 
     def start(self) -> None:
@@ -172,9 +179,9 @@
     async def run_news(self) -> None:
         """Send changes of the store at once."""
         while True:
-            await self.news.wait()
-            self.news.clear()
-            if self.items:
+            await self.findings.wake_hub.wait()
+            self.findings.wake_hub.clear()
+            if self.items or self.findings.has_pending():
                 await self.push()
 
     async def push(self) -> None:
@@ -184,11 +191,17 @@
         self.items.clear()
         self.revision = self.knowledge.view.revision
         aside = self.evidence.changed_aside()
-        if not (members or items) and aside is None:
+        findings = self.findings.take_pending()
+        changed = members or items or aside is not None
+        if not changed and findings == NO_FINDINGS:
             return
         self.sequence += 1
         update = self.update(
-            whole=False, members=members, aside=aside, items=items
+            whole=False,
+            members=members,
+            aside=aside,
+            items=items,
+            findings=findings,
         )
         async with curio.TaskGroup() as group:
             for node in tuple(self.heard):
@@ -237,3 +250,21 @@
             if at < oldest:
                 self.forget(node)
                 self.missed.discard(node)
+
+
+def create_hub(
+    mesh: PeerMesh,
+    contact: Contact,
+    knowledge: Knowledge,
+    clock: Clock,
+    evidence: FleetEvidence,
+) -> Hub:
+    """Return a hub that has heard nothing yet."""
+    return Hub(
+        mesh,
+        contact,
+        knowledge,
+        clock,
+        evidence,
+        create_findings(knowledge, clock),
+    )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/intake.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/intake.py
@@ -11,6 +11,7 @@
 from turmericyard_node.contact import Contact
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.calls import CallForwarder
+from turmericyard_node.forwarding.crashes import mark_of
 from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.knowledge import Knowledge
@@ -81,12 +82,26 @@
         """Forward an admitted request by its kind."""
         budget = self.calls.sender.budget(job.service.name)
         budget.observe_request(self.clock())
+        if self.calls.sender.crashes.refuses(job):
+            return self.refuse_deadly(job)
         if job.route.kind is not Kind.STREAM:
             return await self.calls.forward(job)
         if self.leaving:
             return self.refuse(UNAVAILABLE, 'this node ends')
         return await self.streams.forward(job)
 
+    def refuse_deadly(self, job: Job) -> Answer:
+        """Refuse a request that crashed one endpoint after the other."""
+        seconds = self.calls.sender.crashes.book.seconds_left(job.mark)
+        log_event(
+            Event.REQUEST_QUARANTINED,
+            attempt=job.attempt,
+            strikes=self.calls.sender.crashes.book.known(job.mark).count,
+            return_seconds=round(seconds, 1),
+        )
+        detail = 'endpoints crash each time they run this request: change it'
+        return self.border.refusal(UNAVAILABLE, detail, seconds)
+
     def admit(self, arrival: Arrival) -> Job | Answer:
         """Return the job of a request, or the answer that refuses it."""
         table = self.knowledge.table
@@ -128,6 +143,11 @@
                 arrival.deadline_at,
                 arrival.arrived_at + route.timeout_seconds,
             ),
+            mark_of(
+                workspace.name if workspace else None,
+                arrival.target,
+                arrival.body,
+            ),
         )
 
     def refuse(self, status: int, detail: str) -> Answer:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
@@ -1,7 +1,9 @@
 """One request on its way through the node."""
 
 from dataclasses import dataclass, field
+from functools import partial
 
+from turmericyard_decisions.strikes import Strike
 from turmericyard_ports.configuration import Route, Service
 from turmericyard_ports.request import Arrival
 
@@ -24,10 +26,16 @@
     #: Ranks of the workspace, where it has one, and of the route.
     priority: tuple[int, int]
     deadline_at: float
+    #: What the request has in common with its repeats by the same caller.
+    mark: bytes = b''
     #: Identities of endpoints that this request does not go to again.
     excluded: set[str] = field(default_factory=set)
     #: Sends of this request to endpoints, also those that did not run it.
     sends: int = 0
+    #: Answers to it that broke off.
+    broken: int = 0
+    #: What was known against it when it was sent last.
+    sent_with: Strike = field(default_factory=partial(Strike, b''))
 
     @property
     def attempt(self) -> str:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/knowledge.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/knowledge.py
@@ -19,6 +19,7 @@
     index_routes,
 )
 from turmericyard_ports.endpoint import EndpointRecord
+from turmericyard_protocol.fleet_messages import LeavingSign
 
 #: How long after its notice an endpoint may still go on with a run, in
 #: seconds; half the time in which it must get nothing more.
@@ -121,6 +122,12 @@
         self.book.observe(record, now)
         return known != record
 
+    def observe_sign(self, sign: LeavingSign) -> bool:
+        """Take over that an endpoint leaves; return whether that is new."""
+        is_new = self.book.observe_sign(sign, self.clock())
+        self.is_news = self.is_news or is_new
+        return is_new
+
     def endpoints(self, service: str) -> Iterable[Endpoint]:
         """Return the endpoints that may get requests of a service."""
         return [
@@ -130,9 +137,15 @@
         ]
 
     def may_continue(self, endpoint: Endpoint) -> bool:
-        """Return whether a run may go on at an endpoint that has its copy."""
+        """Return whether a run may go on at an endpoint that has its copy.
+
+        One that wants nothing of this node for now gets one run at most: the
+        platform allows two requests, and the stream would end torn.
+        """
         if endpoint.record.zone in self.closed_zones:
             return False
+        if endpoint.rests(self.clock()) and endpoint.sent_in_rest:
+            return False
         left_at = endpoint.leaving_since
         return left_at is None or self.clock() - left_at < CONTINUE_SECONDS
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/passage.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/passage.py
@@ -90,7 +90,8 @@
         return Failure(AnswerLost(address, 'timeout'))
     except (OSError, EOFError, h11.ProtocolError) as error:
         await connection.close()
-        return Failure(AnswerLost(address, repr(error)))
+        broken = not isinstance(error, h11.ProtocolError)
+        return Failure(AnswerLost(address, repr(error), broken))
     except curio.CancelledError:
         with suppress(OSError):
             await connection.close()
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
@@ -16,7 +16,7 @@
 from turmericyard_node.forwarding.endpoint_book import Endpoint
 from turmericyard_node.forwarding.fleet import Fleet
 from turmericyard_node.forwarding.job import Job
-from turmericyard_node.forwarding.placer import Placer, need_of
+from turmericyard_node.forwarding.placer import Placer
 from turmericyard_protocol.fleet_messages import (
     CopyPlaceRequest,
     PlaceReply,
@@ -41,14 +41,18 @@
         if job.service.engine is None:
             return self.placer.place(job)
         now = self.clock()
-        need = need_of(job, self.placer.zone)
+        need = self.placer.need_of(job)
         hub, reply = await self.ask_hubs(need)
         if reply is None:
             return self.placer.place(job)
         if not reply.endpoint:
             return None
         endpoint = self.known(reply)
-        if endpoint is None or endpoint.evidence.aside(now):
+        if (
+            endpoint is None
+            or endpoint.evidence.aside(now)
+            or endpoint.rests(now)
+        ):
             return self.placer.place(job)
         log_event(
             Event.REQUEST_PLACED,
@@ -77,7 +81,7 @@
             source.record.zone,
             int(tokens),
             share,
-            (source.identity, *unfit),
+            (source.identity, *unfit, *self.placer.resting(job)),
         )
         _, reply = await self.ask_hubs(need)
         if reply is None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
@@ -47,7 +47,7 @@
 
     def place(self, job: Job) -> Endpoint | None:
         """Return the endpoint for a request, None when none has room."""
-        need = need_of(job, self.zone)
+        need = self.need_of(job)
         share = LOCAL_SHARE / self.fleet_size()
         for endpoints in self.draws(need.service):
             candidates = self.candidates(endpoints, need, share)
@@ -57,6 +57,34 @@
                 return candidates[chosen.identity]
         return None
 
+    def need_of(self, job: Job) -> PlaceRequest:
+        """Return what a request needs, as a hub is asked for it."""
+        return PlaceRequest(
+            job.service.name,
+            self.zone,
+            int(job.prompt_tokens()),
+            int(job.memory_tokens()),
+            (*job.excluded, *self.resting(job)),
+        )
+
+    def resting(self, job: Job) -> list[str]:
+        """Return the endpoints that want nothing of this node for now."""
+        found = self.knowledge.book.resting(job.service.name, self.clock())
+        return [endpoint.identity for endpoint in found]
+
+    def rest_seconds(self, job: Job) -> float:
+        """Return when the first endpoint takes requests of this node again.
+
+        0 while one of them takes them, or none is known.
+        """
+        now = self.clock()
+        rests = [
+            endpoint.rests_until - now
+            for endpoint in self.knowledge.endpoints(job.service.name)
+            if endpoint.identity not in job.excluded
+        ]
+        return max(0, min(rests, default=0))
+
     def place_for(self, need: PlaceRequest) -> Endpoint | None:
         """Return the endpoint for another node's generation, as a hub."""
         service = self.knowledge.service(need.service)
@@ -197,14 +225,3 @@
         capacity,
         total.unread_tokens,
     )
-
-
-def need_of(job: Job, zone: str) -> PlaceRequest:
-    """Return what a request needs, as a hub is asked for it."""
-    return PlaceRequest(
-        job.service.name,
-        zone,
-        int(job.prompt_tokens()),
-        int(job.memory_tokens()),
-        tuple(job.excluded),
-    )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
@@ -45,6 +45,8 @@
     moves: int = 0
     first_at: float = 0
     event_at: float = 0
+    #: When the last whole event came, or the stream's present connection.
+    progress_at: float = 0
     longest_gap: float = 0
     gap_at: float = 0
 
@@ -70,6 +72,10 @@
         """Return whether an endpoint that stays keeps a running copy."""
         return self.backup is not None and self.backup.leaving_since is None
 
+    def can_go_on(self) -> bool:
+        """Return whether another endpoint has its memory."""
+        return self.copy is not None or self.has_backup()
+
     def note_events(self, now: float) -> None:
         """Note that events arrived; keeps the longest gap between them."""
         self.first_at = self.first_at or now
@@ -78,6 +84,7 @@
             self.longest_gap = gap
             self.gap_at = now
         self.event_at = now
+        self.progress_at = now
         self.refresh_use()
 
     def first_seconds(self) -> float | None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -6,13 +6,14 @@
 
 from turmericyard_decisions.repeat_budget import RepeatBudget
 from turmericyard_http.clock import Clock
-from turmericyard_http.errors import HttpError, NotSent
+from turmericyard_http.errors import AnswerLost, HttpError, NotSent
 from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.crashes import CrashWatch
 from turmericyard_node.forwarding.endpoint_book import Endpoint
 from turmericyard_node.forwarding.fleet import Fleet
 from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.job import Job
-from turmericyard_node.forwarding.passage import Passage, open_passage
+from turmericyard_node.forwarding.passage import Head, Passage, open_passage
 from turmericyard_ports.border import Border
 from turmericyard_ports.request import Continuation, Onward, Verdict
 from turmericyard_ports.settings import Bounds
@@ -44,6 +45,7 @@
     fleet: Fleet
     clock: Clock
     instruments: Instruments
+    crashes: CrashWatch
     budgets: dict[str, RepeatBudget] = field(default_factory=dict)
 
     def budget(self, service: str) -> RepeatBudget:
@@ -76,6 +78,8 @@
             self.budget(job.service.name).spend(now)
         job.sends += 1
         endpoint.cold_rate.spend(now)
+        endpoint.sent_in_rest += endpoint.rests(now)
+        self.crashes.note_send(job)
         onward = Onward(
             endpoint.identity,
             job.seconds_left(now),
@@ -109,10 +113,12 @@
     ) -> Passage | NotRun | Lost:
         """Return what an opened passage or its failure means."""
         if not isinstance(opened, Success):
-            return self.judge_failure(endpoint, opened)
+            return await self.judge_failure(job, endpoint, opened.failure())
         passage: Passage = opened.unwrap()
         head = passage.head
         verdict = self.border.judge_answer(job.arrival, head.status, head.lines)
+        if verdict in {Verdict.ANSWERED, Verdict.NOT_RUN}:
+            await self.observe_signs(endpoint, head)
         if verdict is Verdict.ANSWERED:
             failed = head.status >= FAILING
             self.fleet.tally.observe(endpoint, failed=failed)
@@ -125,11 +131,25 @@
             self.fleet.tally.observe_unreachable(endpoint)
         return NotRun(f'{verdict.value}, status {head.status}')
 
-    def judge_failure(
-        self, endpoint: Endpoint, opened: Result[Passage, HttpError]
+    async def observe_signs(self, endpoint: Endpoint, head: Head) -> None:
+        """Act on what an endpoint's answer says of the endpoint."""
+        signs = self.border.endpoint_signs(head.status, head.lines)
+        if signs.rest_seconds is not None:
+            endpoint.rest(self.clock() + signs.rest_seconds)
+            log_event(
+                Event.ENDPOINT_RESTS,
+                endpoint=endpoint.identity,
+                seconds=signs.rest_seconds,
+            )
+        if signs.leaving:
+            await self.fleet.hub.findings.report_leaving(endpoint)
+
+    async def judge_failure(
+        self, job: Job, endpoint: Endpoint, error: HttpError
     ) -> NotRun | Lost:
         """Return what a failed exchange means."""
-        error = opened.failure()
+        if isinstance(error, AnswerLost) and error.broken:
+            await self.crashes.note_break(job, endpoint)
         if isinstance(error, NotSent):
             self.fleet.tally.observe_unreachable(endpoint)
             return NotRun(error.detail)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from turmericyard_decisions.event_splice import EventMissing
+from turmericyard_decisions.event_splice import EventMissing, EventTooLong
 from turmericyard_http.answer_writer import Answer
 from turmericyard_http.clock import Clock
 from turmericyard_http.messages import OpaqueResponse
@@ -26,9 +26,15 @@
 RETURN_SECONDS = 0.5
 #: Sends that endpoints may turn away before the client is asked back.
 MAX_TURNED_AWAY = 3
-#: Silence of an endpoint after which its stream is taken as lost, in seconds.
+#: Time without a whole event after which a stream goes on elsewhere, where it
+#: can, in seconds.
 SILENCE_SECONDS = 5.0
-BREAKS = (OSError, EOFError, EventMissing, curio.TaskTimeout)
+#: The same where it cannot, in latency targets: clients give a stream up after
+#: a gap of so many.
+SILENT_TARGETS = 4
+#: What breaks off with the endpoint's connection.
+CUTS = (OSError, EOFError)
+BREAKS = (*CUTS, EventMissing, EventTooLong, curio.TaskTimeout)
 
 
 class StreamEnded(Exception):
@@ -79,6 +85,7 @@
             )
             if isinstance(sent, Passage) and sent.succeeded:
                 run = Run(job, place, sent, use, backup, backup_use)
+                run.progress_at = self.clock()
                 self.book.begin(run)
                 kept = True
                 return self.open(run)
@@ -131,6 +138,7 @@
                 yield events
             yield run.splice.finish()
             outcome = 'whole'
+            await self.sender.crashes.note_end(run.job)
         except ConnectionAbortedError as error:
             outcome = f'broken: {error}'
             raise
@@ -149,6 +157,8 @@
             except StreamEnded:
                 return None
             except BREAKS as error:
+                if isinstance(error, CUTS):
+                    await self.sender.crashes.note_break(run.job, run.place)
                 if not await self.continuer.go_on(run, repr(error)):
                     raise ConnectionAbortedError(repr(error)) from error
 
@@ -180,8 +190,7 @@
 
         Raises one of BREAKS when the stream was cut.
         """
-        left = min(SILENCE_SECONDS, run.job.seconds_left(self.clock()))
-        async with curio.timeout_after(left):
+        async with curio.timeout_after(self.patience(run)):
             piece = await run.passage.read()
         if piece:
             events = run.splice.feed(piece)
@@ -190,6 +199,21 @@
             return events
         raise StreamEnded
 
+    def patience(self, run: Run) -> float:
+        """Return for how long the stream's next bytes are awaited.
+
+        Only whole events count as progress, so that a byte now and then does
+        not keep a stalled stream.
+        """
+        silence = SILENCE_SECONDS
+        if not run.can_go_on():
+            target = run.job.route.latency_target_seconds
+            silence = max(silence, SILENT_TARGETS * target)
+        now = self.clock()
+        return max(
+            0, min(silence - (now - run.progress_at), run.job.seconds_left(now))
+        )
+
     def refuse(self, detail: str, return_seconds: float) -> Answer:
         """Return the answer to a request that has not run."""
         return self.border.refusal(UNAVAILABLE, detail, return_seconds)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
@@ -26,6 +26,8 @@
 #: Refused clients return spread over this part of the expected time, so that
 #: they don't come together.
 RETURN_SPREAD = (0.8, 1.3)
+#: The same after a rest that all endpoints want: not before its end.
+REST_SPREAD = (1.0, 1.3)
 #: Places remembered to tell the pace.
 PACE_PLACES = 64
 
@@ -74,12 +76,15 @@
 
     async def find(self, job: Job) -> Endpoint | NoRoom:
         """Place a request at once, or when room becomes free in time."""
+        patience = self.patience(job)
+        rest = self.placement.placer.rest_seconds(job)
+        if rest > patience:
+            return self.no_room(job, 'all endpoints want a rest', rest)
         if not self.has_rivals(job):
             place = await self.placement.place(job)
             if place is not None:
                 self.note(job)
                 return place
-        patience = self.patience(job)
         expected = self.expected_wait(job)
         if expected > patience:
             return self.no_room(job, 'the wait would be too long')
@@ -131,14 +136,20 @@
         recent = sum(now - time < PACE_SECONDS for time in times)
         return PACE_SECONDS / max(1, recent)
 
-    def no_room(self, job: Job, detail: str) -> NoRoom:
-        """Return the refusal with the time when room is expected."""
+    def no_room(self, job: Job, detail: str, rest: float = 0) -> NoRoom:
+        """Return the refusal with the time when room is expected.
+
+        That is not before the end of a rest that all endpoints want, in
+        seconds.
+        """
         pace = self.pace(job.service.name)
         expected = self.expected_wait(job) + pace
         wait = min(
             max(expected, SHORTEST_RETURN_SECONDS), LONGEST_RETURN_SECONDS
         )
         wait *= self.placement.placer.random.uniform(*RETURN_SPREAD)
+        if rest:
+            wait = rest * self.placement.placer.random.uniform(*REST_SPREAD)
         log_event(
             Event.REQUEST_NOT_PLACED,
             attempt=job.attempt,
--- a/packages/turmericyard-ports/src/turmericyard_ports/border.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/border.py
@@ -9,7 +9,13 @@
 from turmericyard_http.messages import Request, Response
 from turmericyard_ports.configuration import Configuration
 from turmericyard_ports.endpoint import CopiedRun, CopyRefused, EndpointRecord
-from turmericyard_ports.request import Arrival, Headers, Onward, Verdict
+from turmericyard_ports.request import (
+    Arrival,
+    EndpointSigns,
+    Headers,
+    Onward,
+    Verdict,
+)
 from turmericyard_ports.settings import ForwardingSettings
 
 
@@ -52,6 +58,9 @@
     ) -> Verdict:
         """Return what an endpoint's answer says of its request."""
 
+    def endpoint_signs(self, status: int, headers: Headers) -> EndpointSigns:
+        """Return what an endpoint's answer says of the endpoint itself."""
+
     def is_genuine(self, headers: Headers) -> bool:
         """Return whether an answer bears the endpoint's own mark."""
 
--- a/packages/turmericyard-ports/src/turmericyard_ports/request.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/request.py
@@ -72,3 +72,14 @@
     MISDIRECTED = 'misdirected'
     #: The answer belongs to no request of this connection.
     FOREIGN = 'foreign'
+
+
+class EndpointSigns(Struct, frozen=True):
+    """What an endpoint's answer says of the endpoint itself.
+
+    `rest_seconds` is the time for which it wants nothing from this node, None
+    where it does not ask for one.
+    """
+
+    leaving: bool = False
+    rest_seconds: float | None = None
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -34,13 +34,36 @@
     unreachable: int
 
 
+class LeavingSign(Message, frozen=True):
+    """A start of an endpoint said in an answer that it leaves.
+
+    `address` and `born` tell the start from others with the same identity;
+    `born` is None where the platform does not tell it.
+    """
+
+    identity: str
+    address: str
+    born: int | None
+
+
+class Findings(Message, frozen=True):
+    """What answers say of endpoints and requests.
+
+    `strikes` are mark, era and count of requests that crash endpoints.
+    """
+
+    leaving: tuple[LeavingSign, ...] = ()
+    strikes: tuple[tuple[bytes, int, int], ...] = ()
+
+
 class FleetBeat(Message, frozen=True):
     """What a forwarding node tells its hubs.
 
     `sequence` is that of the last update that it has of the hub, `revision`
     that of its view of the store, `taking` whether clients may be sent to it,
     `use` what it runs at each endpoint, `answers` what endpoints answered
-    it; those of the last batches come again, as beats may be lost.
+    it; those of the last batches come again, as beats may be lost, and so do
+    the latest `findings`.
     """
 
     sequence: int
@@ -48,6 +71,7 @@
     taking: bool
     use: tuple[EndpointUse, ...]
     answers: tuple[EndpointAnswers, ...]
+    findings: Findings = Findings()
 
 
 class StoreItem(Message, frozen=True):
@@ -76,6 +100,7 @@
     store_age_ms: int
     trouble: bool
     items: tuple[StoreItem, ...]
+    findings: Findings = Findings()
 
 
 class ViewItemsRequest(Message, frozen=True):
