Ask engines with runs whether they leave while the store is silent

An engine says that it leaves in every answer, but answers of streams have begun long before. Ruled out: waiting for the store to count as failed (a watch that hangs is given up after 1.8 s, longer than most notices). Change: a node whose latest news of the store are older than 0.8 s asks the engines at which it has runs for their reports, each 0.4 s. Before: the new scenario (notice of 1.5 s, silent store, 150 events) lost its stream; after: whole. Nobody is asked while records are renewed.

--- a/features/forwarding/leaving_signs.feature
+++ b/features/forwarding/leaving_signs.feature
@@ -25,6 +25,17 @@
     When an endpoint says that it leaves while the store is down and a node joins
     Then it gets no request of the new node
 
+  Scenario: Engines with runs are asked while the store is silent
+    Given a world with 3 engines and 1 node
+    When an engine leaves while the store is silent and 150 events are streamed
+    Then the client got 150 events, each once and in order
+    And the stream ended whole
+
+  Scenario: Nobody is asked while the store answers
+    Given a world with 3 engines and 1 node
+    When 100 events are streamed
+    Then no engine was asked for its report
+
   Scenario: The sign of another endpoint at the address means nothing
     Given a world with 2 plain endpoints and 1 node
     And one endpoint that has another identity
--- a/features/steps/forwarding_leaving_signs_steps.py
+++ b/features/steps/forwarding_leaving_signs_steps.py
@@ -7,13 +7,18 @@
 from behave import then, when
 from behave.runner import Context
 
-from support.fleet.scenario import run
+from support.fleet.scenario import run, running, stream
 from support.fleet.world import World
 
 #: Calls that show whether an endpoint still gets any.
 PROBES = 12
 LEAVING = 'i-0'
 SPREAD_SECONDS = 0.5
+#: Time between two renewals of an endpoint's record on the platform.
+RENEW_SECONDS = 1.2
+#: Time between an engine's notice and its end: the least that the platform
+#: gives.
+NOTICE_SECONDS = 1.5
 
 
 async def until_seen(world: World, node: str = 'n-0') -> None:
@@ -89,6 +94,49 @@
     run(context, scenario)
 
 
+@when(
+    'an engine leaves while the store is silent and {count:d} events are'
+    ' streamed'
+)
+def step_silent(context: Context, count: int) -> None:
+    async def scenario(world: World) -> None:
+        asking = await stream(world, count)
+        world.store.mode = 'silent'
+        identity = running(world)[0]
+        world.runners[identity].leaving = True
+        await curio.sleep(NOTICE_SECONDS)
+        await world.end_runner(identity)
+        context.answer = await asking.join()
+
+    run(context, scenario)
+
+
+async def renew_records(world: World) -> None:
+    """Renew a record of the engines now and again, as they do themselves."""
+    while True:
+        for identity in world.runners:
+            world.register(identity, 'engines')
+            await curio.sleep(RENEW_SECONDS / len(world.runners))
+
+
+@when('{count:d} events are streamed')
+def step_streamed(context: Context, count: int) -> None:
+    async def scenario(world: World) -> None:
+        renewing = await curio.spawn(renew_records, world)
+        asking = await stream(world, count)
+        context.answer = await asking.join()
+        await renewing.cancel()
+        context.reports = [one.reports for one in world.runners.values()]
+
+    run(context, scenario)
+
+
+@then('no engine was asked for its report')
+def step_no_reports(context: Context) -> None:
+    assert context.answer.whole, context.answer
+    assert not any(context.reports), context.reports
+
+
 @when('that one says that it leaves')
 def step_other(context: Context) -> None:
     async def scenario(world: World) -> None:
--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -56,6 +56,8 @@
     copies: dict[str, Made] = field(default_factory=dict)
     ended: bool = False
     no_room: bool = False
+    #: Reports that it gave.
+    reports: int = 0
     #: All its answers say that it leaves.
     leaving: bool = False
     #: What it asks for where it turns requests away, in seconds.
@@ -70,6 +72,8 @@
         answer = await self.answer_kind(request)
         if self.leaving and isinstance(answer, OpaqueResponse):
             answer.lines = (*answer.lines, (b'server-leaving', b'1'))
+        elif self.leaving:
+            answer.headers['server-leaving'] = '1'
         return answer
 
     async def answer_kind(self, request: Request) -> Any:
@@ -77,6 +81,9 @@
             return await self.move(json.loads(request.body))
         if request.path.startswith('/-/kv-handle/'):
             return json_response(200, {})
+        if request.path == '/-/report':
+            self.reports += 1
+            return json_response(200, {'running': len(self.runs)})
         headers = dict(request.headers)
         attempt = headers.get('x-turmericyard-attempt-id')
         if attempt is None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
@@ -15,6 +15,7 @@
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.discovery import Discovery
 from turmericyard_node.forwarding.endpoint_book import Endpoint
+from turmericyard_node.forwarding.endpoint_poll import EndpointPoll
 from turmericyard_node.forwarding.entry import Entry
 from turmericyard_node.forwarding.fleet import Fleet
 from turmericyard_node.forwarding.follow import Follower
@@ -62,6 +63,7 @@
     entry: Entry
     mover: Mover
     stalls: StallWatch
+    poll: EndpointPoll
     tasks: BackgroundTasks
     servers: list[HttpServer] = field(default_factory=list)
     departures: deque[Endpoint] = field(default_factory=deque)
@@ -84,6 +86,7 @@
             self.discovery.run_seeds,
             self.room.run,
             self.stalls.run,
+            self.poll.run,
             self.act_on_news,
         )
         for loop in loops:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -4,19 +4,21 @@
 
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.tasks import BackgroundTasks
-from turmericyard_node.contact import Contact
 from turmericyard_node.forwarding.answers import failing_in
 from turmericyard_node.forwarding.application import ForwardingApplication
 from turmericyard_node.forwarding.calls import CallForwarder
 from turmericyard_node.forwarding.continuer import Continuer
 from turmericyard_node.forwarding.crashes import CrashWatch
 from turmericyard_node.forwarding.discovery import Discovery, other_seeds
+from turmericyard_node.forwarding.endpoint_poll import EndpointPoll
 from turmericyard_node.forwarding.entry import Entry
 from turmericyard_node.forwarding.fleet import Fleet
-from turmericyard_node.forwarding.fleet_assembly import create_fleet
+from turmericyard_node.forwarding.fleet_assembly import (
+    create_contact,
+    create_fleet,
+)
 from turmericyard_node.forwarding.follow import Follower
 from turmericyard_node.forwarding.gauges import create_exporter
-from turmericyard_node.forwarding.hub import LIVE_SECONDS
 from turmericyard_node.forwarding.hub_choice import HubChoice
 from turmericyard_node.forwarding.instruments import create_instruments
 from turmericyard_node.forwarding.intake import Intake
@@ -82,6 +84,9 @@
         Entry(border, fleet, settings.bounds.address_ttl_seconds, instruments),
         mover,
         StallWatch(boot_seconds),
+        EndpointPoll(
+            border, contact, fleet.hub.findings, fleet.loads, boot_seconds
+        ),
         tasks,
     )
     fleet.is_ready = application.is_ready
@@ -90,12 +95,6 @@
     return application
 
 
-def create_contact() -> Contact:
-    """Return the contacts of a node that has heard nobody yet."""
-    never = boot_seconds() - LIVE_SECONDS
-    return Contact(LIVE_SECONDS, never, LIVE_SECONDS)
-
-
 def create_forwarders(
     border: Border,
     settings: ForwardingSettings,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
@@ -9,7 +9,7 @@
 from turmericyard_node.contact import Contact
 from turmericyard_node.forwarding.answers import AnswerTally, FleetEvidence
 from turmericyard_node.forwarding.fleet import Fleet
-from turmericyard_node.forwarding.hub import create_hub
+from turmericyard_node.forwarding.hub import LIVE_SECONDS, create_hub
 from turmericyard_node.forwarding.hub_choice import HubChoice
 from turmericyard_node.forwarding.knowledge import Knowledge
 from turmericyard_node.forwarding.load_book import LoadBook
@@ -24,6 +24,12 @@
 OPEN_NETWORK_SECRET = b'turmericyard'
 
 
+def create_contact() -> Contact:
+    """Return the contacts of a node that has heard nobody yet."""
+    never = boot_seconds() - LIVE_SECONDS
+    return Contact(LIVE_SECONDS, never, LIVE_SECONDS)
+
+
 def create_fleet(
     settings: ForwardingSettings,
     store: Store,
--- a/packages/turmericyard-ports/src/turmericyard_ports/border.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/border.py
@@ -83,6 +83,9 @@
     def asked_zone(self, request: Request) -> str:
         """Return the zone from which a client asks for addresses."""
 
+    async def ask_endpoint(self, address: str) -> Result[EndpointSigns, str]:
+        """Return what an engine says of itself, or why there is no answer."""
+
     async def copy_run(
         self, address: str, attempt: str, destination: str, *, last: bool
     ) -> Result[CopiedRun, CopyRefused]:
