--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -72,8 +72,6 @@
         answer = await self.answer_kind(request)
         if self.leaving and isinstance(answer, OpaqueResponse):
             answer.lines = (*answer.lines, (b'server-leaving', b'1'))
-        elif self.leaving:
-            answer.headers['server-leaving'] = '1'
         return answer
 
     async def answer_kind(self, request: Request) -> Any:
@@ -83,7 +81,8 @@
             return json_response(200, {})
         if request.path == '/-/report':
             self.reports += 1
-            return json_response(200, {'running': len(self.runs)})
+            state = 'draining' if self.leaving else 'ready'
+            return json_response(200, {'state': state})
         headers = dict(request.headers)
         attempt = headers.get('x-turmericyard-attempt-id')
         if attempt is None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -84,9 +84,7 @@
         Entry(border, fleet, settings.bounds.address_ttl_seconds, instruments),
         mover,
         StallWatch(boot_seconds),
-        EndpointPoll(
-            border, contact, fleet.hub.findings, fleet.loads, boot_seconds
-        ),
+        EndpointPoll(border, fleet, boot_seconds),
         tasks,
     )
     fleet.is_ready = application.is_ready
