Free copies of runs that no stream will go on from

Cause: a copy takes memory and a slot at its holder until it is used or lapses. Change: a copy is freed at its source, or at its holder when the source has gone, when its run ends, when its client leaves, when the run goes on from its backup, and when another copy takes its place. Before: two new scenarios failed (the copy was kept); after: 10 of 10 pass.

--- a/features/forwarding/streams.feature
+++ b/features/forwarding/streams.feature
@@ -24,6 +24,17 @@
     Then the client got 60 events, each once and in order
     And the stream ended whole
 
+  Scenario: A copy that is not needed any more is freed
+    Given a world with 3 engines and 1 node
+    When an engine announces to leave and ends its run of 60 events
+    Then the stream ended whole
+    And a copy was made and no engine keeps it
+
+  Scenario: A copy is freed when its client has left
+    Given a world with 3 engines and 1 node
+    When an engine announces to leave and the client of its run leaves
+    Then a copy was made and no engine keeps it
+
   Scenario: A run moves twice
     Given a world with 3 engines and 1 node
     When two engines leave one after the other while 90 events are streamed
--- a/features/steps/forwarding_streams_steps.py
+++ b/features/steps/forwarding_streams_steps.py
@@ -18,6 +18,8 @@
 
 #: How long an engine keeps a request before its stream begins, in seconds.
 HEAD_SECONDS = 0.5
+#: Time in which a copy has been noted by the node, or freed, in seconds.
+FREE_SECONDS = 0.3
 
 
 @given('a world with {count:d} engines and {nodes:d} node')
@@ -146,6 +148,49 @@
     run(context, scenario)
 
 
+@when('an engine announces to leave and ends its run of {count:d} events')
+def step_ends_in_place(context: Context, count: int) -> None:
+    async def scenario(world: World) -> None:
+        asking = await stream(world, count)
+        await announce(world, running(world)[0])
+        await note_copies(context, world)
+        context.answer = await asking.join()
+        await curio.sleep(FREE_SECONDS)
+        context.kept = copies(world)
+
+    run(context, scenario)
+
+
+@when('an engine announces to leave and the client of its run leaves')
+def step_client_leaves(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        asking = await stream(world, 500)
+        await announce(world, running(world)[0])
+        await note_copies(context, world)
+        await asking.cancel()
+        await curio.sleep(FREE_SECONDS)
+        context.kept = copies(world)
+
+    run(context, scenario)
+
+
+async def note_copies(context: Context, world: World) -> None:
+    """Wait for a copy and keep which there were."""
+    await world.until(lambda: bool(copies(world)))
+    await curio.sleep(FREE_SECONDS)
+    context.copied = copies(world)
+
+
+def copies(world: World) -> list[str]:
+    return [each for one in world.runners.values() for each in one.copies]
+
+
+@then('a copy was made and no engine keeps it')
+def step_freed(context: Context) -> None:
+    assert context.copied
+    assert not context.kept, context.kept
+
+
 @then('no endpoint got a request after it had left for 1.5 seconds')
 def step_left(context: Context) -> None:
     assert len(context.gone.arrivals) == context.arrived
--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -54,6 +54,8 @@
     cancelled: list[str] = field(default_factory=list)
     runs: dict[str, Made] = field(default_factory=dict)
     copies: dict[str, Made] = field(default_factory=dict)
+    #: Where the copies of runs went that this runner had.
+    moved_to: dict[str, str] = field(default_factory=dict)
     ended: bool = False
     no_room: bool = False
     #: Reports that it gave.
@@ -78,7 +80,7 @@
         if request.path == '/-/kv-move':
             return await self.move(json.loads(request.body))
         if request.path.startswith('/-/kv-handle/'):
-            return json_response(200, {})
+            return self.drop(request.path.rpartition('/')[2])
         if request.path == '/-/report':
             self.reports += 1
             state = 'draining' if self.leaving else 'ready'
@@ -191,6 +193,12 @@
             if self.runs.get(run.attempt) is run:
                 self.runs.pop(run.attempt)
 
+    def drop(self, handle: str) -> Any:
+        """Free a copy, at both ends where this is its source."""
+        target = self.moved_to.pop(handle, self.address)
+        held = self.peers[target].copies.pop(handle, None)
+        return json_response(200 if held else 404, {})
+
     async def move(self, body: dict[str, Any]) -> Any:
         run = self.runs.get(body['id'])
         if run is None:
@@ -200,6 +208,7 @@
             return json_response(503, {})
         await curio.sleep(COPY_SECONDS)
         handle = f'h-{body["id"]}'
+        self.moved_to[handle] = body['to']
         target.copies[handle] = Made(run.attempt, run.made, run.length)
         if body['last']:
             self.runs.pop(body['id'])
--- a/packages/turmericyard-node/src/turmericyard_node/events.py
+++ b/packages/turmericyard-node/src/turmericyard_node/events.py
@@ -41,6 +41,7 @@
     STREAM_ENDED = (414, 'stream:ended')
     RUN_COPIED = (415, 'run:copied')
     RUN_NOT_COPIED = (416, 'run:not-copied')
+    COPY_NOT_FREED = (417, 'copy:not-freed')
     ENDPOINT_COLD = (500, 'endpoint:cold')
     ENDPOINT_DIED = (501, 'endpoint:died')
     REQUEST_QUARANTINED = (502, 'request:quarantined')
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -8,6 +8,7 @@
 from turmericyard_node.forwarding.application import ForwardingApplication
 from turmericyard_node.forwarding.calls import CallForwarder
 from turmericyard_node.forwarding.continuer import Continuer
+from turmericyard_node.forwarding.copies import CopyCleaner
 from turmericyard_node.forwarding.crashes import CrashWatch
 from turmericyard_node.forwarding.discovery import Discovery, other_seeds
 from turmericyard_node.forwarding.endpoint_poll import EndpointPoll
@@ -112,7 +113,8 @@
         CrashWatch(fleet.hub.findings, tasks),
     )
     book = RunBook(loads)
-    continuer = Continuer(sender, room.placement, loads, boot_seconds)
+    cleaner = CopyCleaner(border, tasks)
+    continuer = Continuer(sender, room.placement, loads, boot_seconds, cleaner)
     streams = StreamForwarder(
         border,
         sender,
@@ -134,7 +136,13 @@
         boot_seconds,
     )
     return intake, Mover(
-        border, room.placement, loads, book, boot_seconds, instruments
+        border,
+        room.placement,
+        loads,
+        book,
+        boot_seconds,
+        instruments,
+        cleaner,
     )
 
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/continuer.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/continuer.py
@@ -4,6 +4,7 @@
 
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.copies import CopyCleaner
 from turmericyard_node.forwarding.endpoint_book import Endpoint
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.load_book import LoadBook, Use
@@ -27,6 +28,7 @@
     placement: Placement
     loads: LoadBook
     clock: Clock
+    cleaner: CopyCleaner
 
     async def go_on(self, run: Run, detail: str) -> bool:
         """Continue a run elsewhere; return whether that worked."""
@@ -88,7 +90,11 @@
         if not sent.succeeded:
             await sent.close()
             return False
+        unused = run.copy
+        if unused is not None and unused.holder is endpoint:
+            unused = None
         self.attach(run, endpoint, sent, backup)
+        await self.cleaner.discard(run, unused)
         return True
 
     def attach(
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/copies.py
@@ -0,0 +1,42 @@
+"""Frees copies of runs that no stream will go on from.
+
+An engine keeps a copy for seconds after it was made; meanwhile it takes memory
+and a slot that requests wait for.
+"""
+
+from dataclasses import dataclass
+
+from returns.result import Success
+
+from turmericyard_http.tasks import BackgroundTasks
+from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.runs import Run, RunCopy
+from turmericyard_ports.border import Border
+
+
+@dataclass(slots=True)
+class CopyCleaner:
+    """Frees copies beside the work of streams."""
+
+    border: Border
+    tasks: BackgroundTasks
+
+    async def discard(self, run: Run, copy: RunCopy | None) -> None:
+        """Begin to free a copy that is not needed, if there is one."""
+        if copy is not None:
+            await self.tasks.spawn(self.free, run, copy)
+
+    async def free(self, run: Run, copy: RunCopy) -> None:
+        """Free a copy at its source, or at its holder when that has gone."""
+        failure = ''
+        for address in (copy.copied.source, copy.holder.record.address):
+            freed = await self.border.free_copy(address, copy.copied.handle)
+            if isinstance(freed, Success):
+                return
+            failure = freed.failure()
+        log_event(
+            Event.COPY_NOT_FREED,
+            attempt=run.job.attempt,
+            holder=copy.holder.identity,
+            message=failure,
+        )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
@@ -14,6 +14,7 @@
 from turmericyard_decisions.seats import COPY_SHARE
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.copies import CopyCleaner
 from turmericyard_node.forwarding.endpoint_book import Endpoint
 from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.load_book import LoadBook, Use
@@ -44,6 +45,7 @@
     book: RunBook
     clock: Clock
     instruments: Instruments
+    cleaner: CopyCleaner
 
     async def leave(self, endpoint: Endpoint) -> None:
         """Copy the runs of an endpoint that leaves until it has ended.
@@ -101,14 +103,25 @@
         self.log(run, holder, self.clock() - started_at, detail)
         if not done:
             run.unfit.add(holder.identity)
-        if not done or run.ended or run.place is not source:
             self.loads.end(use)
             return
-        if run.copy is not None:
-            self.loads.end(run.copy.use)
-        run.copy = RunCopy(copied.unwrap(), holder, use)
+        made = RunCopy(copied.unwrap(), holder, use)
+        if run.ended or run.place is not source:
+            self.loads.end(use)
+            await self.cleaner.discard(run, made)
+            return
+        await self.keep(run, made)
         run.copied_at = started_at
 
+    async def keep(self, run: Run, made: RunCopy) -> None:
+        """Take a copy in place of the one before, which may be the same."""
+        former = run.copy
+        run.copy = made
+        if former is not None:
+            self.loads.end(former.use)
+            if former.copied != made.copied:
+                await self.cleaner.discard(run, former)
+
     def log(
         self, run: Run, holder: Endpoint | None, seconds: float, detail: str
     ) -> None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -183,6 +183,7 @@
             gap_at=round(run.gap_at, 3),
             seconds=round(self.clock() - started_at, 3),
         )
+        await self.continuer.cleaner.discard(run, run.copy)
         await run.passage.close()
 
     async def read(self, run: Run) -> bytes:
--- a/packages/turmericyard-ports/src/turmericyard_ports/border.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/border.py
@@ -86,6 +86,9 @@
     async def ask_endpoint(self, address: str) -> Result[EndpointSigns, str]:
         """Return what an engine says of itself, or why there is no answer."""
 
+    async def free_copy(self, address: str, handle: str) -> Result[None, str]:
+        """Free a copy by its handle, or return why it was not freed."""
+
     async def copy_run(
         self, address: str, attempt: str, destination: str, *, last: bool
     ) -> Result[CopiedRun, CopyRefused]:
