--- a/features/forwarding/knowledge.feature
+++ b/features/forwarding/knowledge.feature
@@ -27,6 +27,11 @@
     When the store goes down and another node starts
     Then that node serves within 3 seconds
 
+  Scenario: A key that was withdrawn stays so over a restart in an outage
+    Given a world with 2 plain endpoints and 2 nodes
+    When a key is withdrawn, the store goes down and another node starts
+    Then that node never served the key
+
   Scenario: Seeds that change without a signal are asked
     Given a world whose store is down and 1 node
     When another node starts alone and its settings then name the first one
@@ -57,6 +62,11 @@
     When records of other writers appear
     Then calls go to the one endpoint only
 
+  Scenario: Calls that arrive around a node's end are all answered
+    Given a world with 2 plain endpoints and 2 nodes
+    When a node is told to end while 60 calls arrive on new connections
+    Then each call was answered 200
+
   Scenario: A node that ends leaves the directory and cuts no request
     Given a world with 2 plain endpoints and 2 nodes
     When a node is told to end while a call runs
