Take no engine that left or had begun a run for one that crashed under it

Cause: found by reading the change again. Each engine that a run outlived counted as a crash: the connection broke and the next was refused. At the third move of a stream its request was taken for one that crashes engines, and the stream ended torn. Change: an endpoint that said that it leaves ends as it said; one that had made events of a run did not crash on beginning it. Only other breaks are looked at. Before: the new scenario (four engines leave in turn) failed; after: passed, as do the five of crashes.feature.

--- a/features/forwarding/streams.feature
+++ b/features/forwarding/streams.feature
@@ -37,10 +37,16 @@
 
   Scenario: A run moves twice
     Given a world with 3 engines and 1 node
-    When two engines leave one after the other while 90 events are streamed
+    When 2 engines leave one after the other while 90 events are streamed
     Then the client got 90 events, each once and in order
     And the stream ended whole
 
+  Scenario: A run that moves often is not taken for one that crashes engines
+    Given a world with 6 engines and 1 node
+    When 4 engines leave one after the other while 95 events are streamed
+    Then the client got 95 events, each once and in order
+    And the stream ended whole
+
   Scenario: A stream that cannot go on does not look whole
     Given a world with 1 engines and 1 node
     When an engine dies without notice while it streams 60 events
--- a/features/steps/forwarding_streams_steps.py
+++ b/features/steps/forwarding_streams_steps.py
@@ -18,6 +18,8 @@
 
 #: How long an engine keeps a request before its stream begins, in seconds.
 HEAD_SECONDS = 0.5
+#: Time between the events of a run that is to outlast several engines.
+SLOW_EVENT_SECONDS = 0.04
 #: Time in which a copy has been noted by the node, or freed, in seconds.
 FREE_SECONDS = 0.3
 
@@ -112,12 +114,15 @@
 
 
 @when(
-    'two engines leave one after the other while {count:d} events are streamed'
+    '{engines:d} engines leave one after the other while {count:d} events are'
+    ' streamed'
 )
-def step_two(context: Context, count: int) -> None:
+def step_leave_in_turn(context: Context, engines: int, count: int) -> None:
     async def scenario(world: World) -> None:
+        for runner in world.runners.values():
+            runner.event_seconds = SLOW_EVENT_SECONDS
         asking = await stream(world, count)
-        for _ in range(2):
+        for _ in range(engines):
             identity = running(world)[0]
             await announce(world, identity)
             await curio.sleep(0.5)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/continuer.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/continuer.py
@@ -117,6 +117,7 @@
         run.copy = None
         run.moves += 1
         run.progress_at = self.clock()
+        run.began_here = False
         run.splice.restart()
         run.refresh_use()
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/crashes.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/crashes.py
@@ -28,8 +28,8 @@
 class CrashWatch:
     """Strikes against requests; `broken` are those whose answers broke off.
 
-    An endpoint whose answers break off has crashed when it refuses the next
-    connection.
+    An endpoint whose answers break off before it began them has crashed when
+    it refuses the next connection.
     """
 
     findings: FindingBook
@@ -67,7 +67,12 @@
             await self.findings.report_strikes((cleared,))
 
     async def note_break(self, job: Job, endpoint: Endpoint) -> None:
-        """Look whether an endpoint crashed whose answer broke off."""
+        """Look whether an endpoint crashed whose answer broke off.
+
+        One that said that it leaves ends as it said.
+        """
+        if endpoint.leaving_since is not None:
+            return
         job.broken += 1
         gathered = self.broken.get(endpoint.identity)
         if gathered is not None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
@@ -47,6 +47,8 @@
     event_at: float = 0
     #: When the last whole event came, or the stream's present connection.
     progress_at: float = 0
+    #: Whether its present endpoint has made events of it.
+    began_here: bool = False
     longest_gap: float = 0
     gap_at: float = 0
 
@@ -85,6 +87,7 @@
             self.gap_at = now
         self.event_at = now
         self.progress_at = now
+        self.began_here = True
         self.refresh_use()
 
     def first_seconds(self) -> float | None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -157,11 +157,15 @@
             except StreamEnded:
                 return None
             except BREAKS as error:
-                if isinstance(error, CUTS):
-                    await self.sender.crashes.note_break(run.job, run.place)
+                await self.note_cut(run, error)
                 if not await self.continuer.go_on(run, repr(error)):
                     raise ConnectionAbortedError(repr(error)) from error
 
+    async def note_cut(self, run: Run, error: Exception) -> None:
+        """Tell of a connection that broke before its endpoint had begun."""
+        if isinstance(error, CUTS) and not run.began_here:
+            await self.sender.crashes.note_break(run.job, run.place)
+
     async def end(self, run: Run, outcome: str, started_at: float) -> None:
         """Close a run's stream, count it and log how it ended."""
         self.book.end(run)
