Tell a hub's own findings at once, and missed updates with the next ones

Cause, by a trace of every merge of strikes and every send of a hub: - A hub hears the beat of a node whose record it has not read. Its updates to that node fail with "no address", and the node had everything only with its next beat, up to 0.5 s later. The crash of 0.1 s after the start was thus unknown to the node that got the request 0.3 s later, which sent it with no strike against it, and the strikes merged to one. - A hub's own findings waited for its next timed update, up to 0.2 s; those that it heard from others were told on at once.

Change: what a node finds wakes its own hub's side too. A node that missed an update gets everything with the next update that reaches it, not only with its next beat; the record that brings its address is such an update.

Both new scenarios of hub_news.feature failed before, without time or network.

--- a/features/steps/forwarding_hub_news_steps.py
+++ b/features/steps/forwarding_hub_news_steps.py
@@ -1,16 +1,26 @@
 """Steps for what a node does with a hub's news."""
 
 import json
+from dataclasses import dataclass, field, replace
+from functools import partial
 
+import curio
 from behave import then, when
 from behave.runner import Context
+from returns.result import Failure, Result, Success
 
 from support.fleet.scenario import run
 from support.fleet.world import World
+from turmericyard_decisions.strikes import Strike
+from turmericyard_node.forwarding.findings import create_findings
 from turmericyard_node.forwarding.hub_choice import HubNews
+from turmericyard_protocol.errors import PeerUnreachable
 from turmericyard_protocol.fleet_messages import HubUpdate, StoreItem
 
 HUB = 'n-hub'
+NODE = 'n-1'
+#: Turns of the loop in which a task that was woken has run.
+TURNS = 20
 FIRST_SEQUENCE = 10
 
 
@@ -87,3 +97,77 @@
 @then('its next beat asks the hub for everything')
 def step_asks_all(context: Context) -> None:
     assert context.beat.sequence == 0
+
+
+@dataclass
+class RecordingMesh:
+    """Keeps the updates that a hub sends; without an address none arrives."""
+
+    sent: list[HubUpdate] = field(default_factory=list)
+    has_address: bool = True
+
+    async def send(
+        self, node: str, update: HubUpdate
+    ) -> Result[None, PeerUnreachable]:
+        if not self.has_address:
+            return Failure(PeerUnreachable(node))
+        self.sent.append(update)
+        return Success(None)
+
+
+async def find_both(world: World, mesh: RecordingMesh) -> None:
+    """Let a hub without timed updates find a strike, then a leaving sign."""
+    fleet = world.nodes['n-0'].fleet
+    hub = replace(
+        fleet.hub,
+        mesh=mesh,
+        findings=create_findings(fleet.knowledge, fleet.clock),
+        heard={NODE: (fleet.clock(), fleet.beat(HUB))},
+    )
+    task = await curio.spawn(hub.run_news)
+    struck = hub.findings.strikes.strike(Strike(b'mark'))
+    await hub.findings.report_strikes((struck,))
+    await pass_turns()
+    mesh.has_address = True
+    endpoint = next(iter(fleet.knowledge.book.endpoints.values()))
+    await hub.findings.report_leaving(endpoint)
+    await pass_turns()
+    await task.cancel()
+
+
+async def pass_turns() -> None:
+    for _ in range(TURNS):
+        await curio.sleep(0)
+
+
+@when(
+    'a hub whose timed updates have stopped finds a strike and a leaving'
+    ' endpoint'
+)
+def step_own_findings(context: Context) -> None:
+    context.mesh = RecordingMesh()
+    run(context, partial(find_both, mesh=context.mesh))
+
+
+@then('the nodes that beat to it are told of both')
+def step_told_findings(context: Context) -> None:
+    told = [update.findings for update in context.mesh.sent]
+    assert [len(each.strikes) for each in told] == [1, 0], told
+    assert [len(each.leaving) for each in told] == [0, 1], told
+
+
+@when(
+    "a hub finds a strike before it knows a node's address and a leaving"
+    ' endpoint after it'
+)
+def step_no_address(context: Context) -> None:
+    context.mesh = RecordingMesh(has_address=False)
+    run(context, partial(find_both, mesh=context.mesh))
+
+
+@then('that node is told of both without a further beat')
+def step_told_missed(context: Context) -> None:
+    [update] = context.mesh.sent
+    assert update.whole
+    assert len(update.findings.strikes) == 1, update
+    assert len(update.findings.leaving) == 1, update
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/findings.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/findings.py
@@ -67,13 +67,18 @@
         if self.knowledge.observe_sign(sign):
             self.leaving_news.find(sign)
             await self.knowledge.flush()
-            await self.wake_beats.set()
+            await self.wake_tellers()
 
     async def report_strikes(self, strikes: Iterable[Strike | None]) -> None:
         """Tell the hubs of strikes that were news to this node."""
         for strike in filter(None, strikes):
             self.strike_news.find(strike)
+        await self.wake_tellers()
+
+    async def wake_tellers(self) -> None:
+        """Have the hubs told at once, and as a hub the other nodes."""
         await self.wake_beats.set()
+        await self.wake_hub.set()
 
 
 def create_findings(knowledge: Knowledge, clock: Clock) -> FindingBook:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -208,15 +208,22 @@
                 await group.spawn(self.send, node, update)
 
     async def send(self, node: str, update: HubUpdate) -> None:
-        """Send an update; a node that does not take it gets all later."""
+        """Send an update, or everything to a node that missed an earlier one.
+
+        A node that does not take it gets everything with the next update or
+        the next beat, whichever comes first.
+        """
+        told = self.whole() if node in self.missed else update
         try:
             async with curio.timeout_after(SEND_SECONDS):
-                sent = await self.mesh.send(node, update)
+                sent = await self.mesh.send(node, told)
         except curio.TaskTimeout:
             self.missed.add(node)
             await self.mesh.drop(node)
             return
-        if not isinstance(sent, Success):
+        if isinstance(sent, Success):
+            self.missed.discard(node)
+        else:
             self.missed.add(node)
 
     def grant(self, use: EndpointUse) -> None:
