Replace copies and backups whose zone was closed

Change: a copy or backup counts only while its holder may get requests; else the run is copied to another endpoint while its own still runs.

Before: both scenarios of evacuated_copies.feature torn after 37 and 53 of 60 events. After: whole.

--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/knowledge.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/knowledge.py
@@ -136,6 +136,15 @@
             if endpoint.record.zone not in self.closed_zones
         ]
 
+    def stays(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint may go on with runs that it has copies of.
+
+        One that leaves, or whose zone is closed, may not for long.
+        """
+        if endpoint.record.zone in self.closed_zones:
+            return False
+        return endpoint.usable(self.clock())
+
     def may_continue(self, endpoint: Endpoint) -> bool:
         """Return whether a run may go on at an endpoint that has its copy.
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
@@ -69,12 +69,16 @@
         engine = run.job.service.engine
         if engine is None or not engine.can_move or run.ended:
             return False
-        if run.has_backup():
+        if run.backup is not None and self.stays(run.backup):
             return False
-        if run.copy is not None:
+        if run.copy is not None and self.stays(run.copy.holder):
             return self.clock() - run.copied_at > REFRESH_SECONDS
         return run.remaining_tokens() > FINISH_TOKENS
 
+    def stays(self, holder: Endpoint) -> bool:
+        """Return whether a run may go on at the endpoint that has its copy."""
+        return self.placement.placer.knowledge.stays(holder)
+
     async def copy_all(self, runs: list[Run]) -> None:
         """Copy runs one after the other."""
         for run in runs:
@@ -142,8 +146,7 @@
 
         One that had no room for it is asked again after all others.
         """
-        now = self.clock()
-        if run.copy is not None and run.copy.holder.usable(now):
+        if run.copy is not None and self.stays(run.copy.holder):
             return run.copy.holder
         found = await self.placement.place_copy(
             run.job, run.tokens(), run.place, run.unfit, COPY_SHARE
