Keep backups in another zone than their run

Ruled out: memory in other zones (half of their engines could lend some).

Change: a backup goes to another zone first, a copy of a run that must leave stays in its zone; two functions for the two load patterns instead of one with a share. The request to a hub says which it is (protocol version 4).

Measured: all engines of a run's zone die at once (4 engines, 2 zones): torn after 14 events before, whole after; with one zone only the backup is there as before.

--- a/features/decisions/seats.feature
+++ b/features/decisions/seats.feature
@@ -22,6 +22,18 @@
     When a run of 4000 tokens in zone a is copied
     Then the copy goes to engine 2
 
+  Scenario: A backup goes to an engine of another zone with the most free memory
+    Given 4 engines of 34000 tokens in the zones a, a, b, b
+    And engine 3 holds 20000 tokens
+    When a run of 4000 tokens in zone a gets a backup
+    Then the copy goes to engine 4
+
+  Scenario: A backup stays in the zone when no other one has room to lend
+    Given 2 engines of 34000 tokens in the zones a, b
+    And engine 2 holds 20000 tokens
+    When a run of 4000 tokens in zone a gets a backup
+    Then the copy goes to engine 1
+
   Scenario: A copy has room by what is held now
     Given 1 engines of 34000 tokens in the zones a
     And engine 1 holds 29000 tokens and forecasts 40000
--- a/features/steps/decisions_forwarding_steps.py
+++ b/features/steps/decisions_forwarding_steps.py
@@ -13,8 +13,8 @@
 from turmericyard_decisions.repeat_budget import ColdRate, RepeatBudget
 from turmericyard_decisions.run_moves import order_copies
 from turmericyard_decisions.seats import (
-    COPY_SHARE,
     Seat,
+    choose_backup_seat,
     choose_copy_seat,
     choose_seat,
 )
@@ -207,9 +207,12 @@
 
 @when('a run of {tokens:d} tokens in zone {zone} is copied')
 def step_copy(context: Context, tokens: int, zone: str) -> None:
-    context.chosen = choose_copy_seat(
-        seats(context), tokens, zone, Random(7), COPY_SHARE
-    )
+    context.chosen = choose_copy_seat(seats(context), tokens, zone, Random(7))
+
+
+@when('a run of {tokens:d} tokens in zone {zone} gets a backup')
+def step_backup(context: Context, tokens: int, zone: str) -> None:
+    context.chosen = choose_backup_seat(seats(context), tokens, zone, Random(7))
 
 
 @then('the copy goes to engine {number}')
--- a/features/steps/forwarding_hub_places_steps.py
+++ b/features/steps/forwarding_hub_places_steps.py
@@ -32,7 +32,7 @@
 def step_copies(context: Context, count: int, tokens: int) -> None:
     async def scenario(world: World) -> None:
         fleet = world.nodes['n-0'].fleet
-        need = CopyPlaceRequest('engines', 'a', tokens, 1.0, ('i-0',))
+        need = CopyPlaceRequest('engines', 'a', tokens, False, ('i-0',))
         replies = [
             await fleet.answer_copy_place(need, 'n-1') for _ in range(count)
         ]
--- a/features/steps/forwarding_evacuated_copies_steps.py
+++ b/features/steps/forwarding_zones_of_copies_steps.py
@@ -1,6 +1,7 @@
 """Steps for copies and backups of runs whose zone is closed."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import curio
 from behave import given, when
@@ -9,31 +10,36 @@
 from support.fleet.scenario import build, run, running, stream
 from support.fleet.world import World
 
-ZONES = ('a', 'b', 'c')
 EVENTS = 60
 #: Time in which news reach the node and a copy is made, in seconds.
 SETTLE_SECONDS = 0.4
 
 
-async def build_zones(world: World, *, backups: bool) -> None:
-    await build('engines', len(ZONES), 1, world, backups=backups)
-    for identity, zone in zip(world.runners, ZONES, strict=True):
+async def build_zones(zones: list[str], world: World, *, backups: bool) -> None:
+    await build('engines', len(zones), 1, world, backups=backups)
+    for identity, zone in zip(world.runners, zones, strict=True):
         world.register(identity, 'engines', zone=zone)
-    book = world.nodes['n-0'].knowledge.book.endpoints
     await world.until(
-        lambda: {each.record.zone for each in book.values()} == set(ZONES)
+        lambda: [zone_of(world, each) for each in world.runners] == zones
     )
 
 
-@given('a world with engines in 3 zones and 1 node')
-def step_zones(context: Context) -> None:
-    context.build = lambda world: build_zones(world, backups=False)
+def zone_of(world: World, identity: str) -> str:
+    book = world.nodes['n-0'].knowledge.book
+    return book.endpoints[identity].record.zone
+
+
+@given('a world with engines in the zones "{zones}" and 1 node')
+def step_zones(context: Context, zones: str) -> None:
+    context.build = partial(build_zones, zones.split(), backups=False)
     context.prepare = []
 
 
-@given('a world with engines that keep backups in 3 zones and 1 node')
-def step_backup_zones(context: Context) -> None:
-    context.build = lambda world: build_zones(world, backups=True)
+@given(
+    'a world with engines that keep backups in the zones "{zones}" and 1 node'
+)
+def step_backup_zones(context: Context, zones: str) -> None:
+    context.build = partial(build_zones, zones.split(), backups=True)
     context.prepare = []
 
 
@@ -42,12 +48,11 @@
 
 
 def close_zone_of(world: World, identity: str) -> None:
-    zone = ZONES[list(world.runners).index(identity)]
-    world.store.put(f'op/evacuate/{zone}', {})
+    world.store.put(f'op/evacuate/{zone_of(world, identity)}', {})
 
 
 def leave(world: World, identity: str) -> None:
-    zone = ZONES[list(world.runners).index(identity)]
+    zone = zone_of(world, identity)
     world.register(identity, 'engines', 'draining', zone=zone)
 
 
@@ -89,3 +94,33 @@
         await end_after(context, world, changes)
 
     run(context, scenario)
+
+
+@when('all engines in the zone of a run die without notice')
+def step_zone_dies(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        asking = await stream(world, EVENTS)
+        zone = zone_of(world, running(world)[0])
+        dying = [each for each in world.runners if zone_of(world, each) == zone]
+        await end_all(world, dying)
+        context.answer = await asking.join()
+
+    run(context, scenario)
+
+
+@when('all endpoints but the backup of a run die without notice')
+def step_others_die(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        asking = await stream(world, EVENTS)
+        [backup] = holders(world)
+        await end_all(world, [each for each in world.runners if each != backup])
+        context.answer = await asking.join()
+
+    run(context, scenario)
+
+
+async def end_all(world: World, identities: list[str]) -> None:
+    """End runners at once."""
+    async with curio.TaskGroup() as group:
+        for identity in identities:
+            await group.spawn(world.end_runner, identity)
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/seats.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/seats.py
@@ -61,6 +61,10 @@
             return True
         return self.held_tokens + tokens <= share * self.capacity
 
+    def fill(self) -> float:
+        """Return the part of its memory that is taken now."""
+        return self.held_tokens / self.capacity if self.capacity else 0
+
     def delay(self, zone: str) -> float:
         """Return the expected delay of a new run, in seconds."""
         memory = self.memory_tokens / self.capacity if self.capacity else 0
@@ -103,25 +107,35 @@
 
 
 def choose_copy_seat(
-    seats: Sequence[Seat],
-    tokens: float,
-    zone: str,
-    random: Random,
-    share: float = BACKUP_SHARE,
+    seats: Sequence[Seat], tokens: float, zone: str, random: Random
 ) -> Seat | None:
-    """Return the seat for a copy of a run in `zone`.
+    """Return the seat for a copy of a run that must leave its engine in `zone`.
 
     A copy between zones takes twice as long and is paid for, so that the
     zone goes first.
     """
-    fitting = [seat for seat in seats if seat.has_room_now(tokens, share)]
-    if not fitting:
-        return None
+    fitting = [seat for seat in seats if seat.has_room_now(tokens, COPY_SHARE)]
     return min(
         fitting,
-        key=lambda seat: (
-            seat.zone != zone,
-            seat.held_tokens / seat.capacity if seat.capacity else 0,
-            random.random(),
-        ),
+        key=lambda seat: (seat.zone != zone, seat.fill(), random.random()),
+        default=None,
+    )
+
+
+def choose_backup_seat(
+    seats: Sequence[Seat], tokens: float, zone: str, random: Random
+) -> Seat | None:
+    """Return the seat for the backup of a run in `zone`.
+
+    Engines of one zone go down together, or are closed together, so that
+    another zone goes first. A backup is written as the run goes on, so that
+    the longer way delays nothing.
+    """
+    fitting = [
+        seat for seat in seats if seat.has_room_now(tokens, BACKUP_SHARE)
+    ]
+    return min(
+        fitting,
+        key=lambda seat: (seat.zone == zone, seat.fill(), random.random()),
+        default=None,
     )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/continuer.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/continuer.py
@@ -128,7 +128,9 @@
             return None
         if job.likely_output() < BACKUP_TOKENS:
             return None
-        return await self.placement.place_copy(job, job.memory_tokens(), place)
+        return await self.placement.place_copy(
+            job, job.memory_tokens(), place, backup=True
+        )
 
     def lend(self, job: Job, backup: Endpoint | None) -> Use | None:
         """Count the memory of a backup."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
@@ -11,7 +11,6 @@
 from returns.result import Success
 
 from turmericyard_decisions.run_moves import order_copies
-from turmericyard_decisions.seats import COPY_SHARE
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.copies import CopyCleaner
@@ -149,7 +148,7 @@
         if run.copy is not None and self.stays(run.copy.holder):
             return run.copy.holder
         found = await self.placement.place_copy(
-            run.job, run.tokens(), run.place, run.unfit, COPY_SHARE
+            run.job, run.tokens(), run.place, run.unfit, backup=False
         )
         if found is None:
             run.unfit.clear()
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
@@ -10,7 +10,6 @@
 
 from returns.result import Success
 
-from turmericyard_decisions.seats import BACKUP_SHARE
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.endpoint_book import Endpoint
@@ -70,9 +69,10 @@
         tokens: float,
         source: Endpoint,
         unfit: Collection[str] = (),
-        share: float = BACKUP_SHARE,
+        *,
+        backup: bool,
     ) -> Endpoint | None:
-        """Return the endpoint for a copy of a run, None without room.
+        """Return the endpoint for a copy or backup of a run, None without room.
 
         Those that are `unfit`, by identity, are left out.
         """
@@ -80,7 +80,7 @@
             job.service.name,
             source.record.zone,
             int(tokens),
-            share,
+            backup,
             (source.identity, *unfit, *self.placer.resting(job)),
         )
         _, reply = await self.ask_hubs(need)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placer.py
@@ -6,6 +6,7 @@
 
 from turmericyard_decisions.seats import (
     Seat,
+    choose_backup_seat,
     choose_copy_seat,
     choose_seat,
     choose_service_seat,
@@ -145,12 +146,12 @@
                 for endpoint in endpoints
                 if endpoint.identity not in need.avoided
             }
-            chosen = choose_copy_seat(
+            choose = choose_backup_seat if need.backup else choose_copy_seat
+            chosen = choose(
                 self.seats(service, candidates),
                 need.tokens,
                 need.zone,
                 self.random,
-                need.share,
             )
             if chosen is not None:
                 return candidates[chosen.identity]
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -132,14 +132,15 @@
 class CopyPlaceRequest(Message, frozen=True):
     """Asks a hub where a copy of a run in `zone` fits.
 
-    `share` is the part of an endpoint's memory that may be taken after it.
-    `avoided` are the run's own endpoint and those that had no room.
+    `backup` says that the copy is kept while the run goes on, and not made
+    because it must leave. `avoided` are the run's own endpoint and those that
+    had no room.
     """
 
     service: str
     zone: str
     tokens: int
-    share: float
+    backup: bool
     avoided: tuple[str, ...]
 
 
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/messages.py
@@ -7,7 +7,7 @@
 from turmericyard_protocol.message import Message
 
 #: Raised when the meaning of a message changes.
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 
 
 class Challenge(Message, frozen=True):
