Report from nodes' logs why streams did not end whole

`turmericyard report streams FILE...` reads the log lines of nodes into typed events, joins them by attempt and counts each opened stream by how it ended.

--- a/packages/turmericyard-operator/src/turmericyard_operator/main.py
+++ b/packages/turmericyard-operator/src/turmericyard_operator/main.py
@@ -16,6 +16,7 @@
     read_settings,
 )
 from turmericyard_operator.status import explain, status
+from turmericyard_operator.streams import streams
 from turmericyard_operator.tables import tables
 from turmericyard_tables.edit import PlaceKind
 
@@ -78,6 +79,7 @@
 main.add_command(explain)
 main.add_command(call)
 main.add_command(report)
+report.add_command(streams)
 
 
 if __name__ == '__main__':
