--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	$(PY) -m ruff format --check packages platform features tools deploy
 	$(PY) -m ruff check packages platform features tools deploy
 	$(PY) -m flake8 packages platform features tools deploy
-	$(PY) -m mypy packages/*/src platform/turmericyard_fleet
+	$(PY) -m mypy packages/*/src platform/turmericyard_fleet platform/turmericyard_rounds
 
 #: Feature files that run at the same time.
 WORKERS ?= 5
