Make a refusal of a crashing request final, at every node

Cause, from the nodes' logs (now with the restart id of each death): - A refusal was worked out anew at each question. A death of another request within 2 s of the one that led to it made that one count as a common cause, after the refusal: the request ran again at this or another node and killed one engine more, or two. - An owner that had never reached an engine declared its death with no restart id. Peers knew the same death by its id, so it stood as an unrelated one and excused the request. This fits the failures after a start, when the first crash comes before the first poll. - Once, with these two mended: an innocent stream was refused for good. It died beside one culprit, then was let run beside the other, by then a suspect too.

Change: a refusing node counts the strikes for good and tells its peers, with the deaths (RefusalNotice, protocol version 5). A death without an id and with nothing in flight is not declared. A suspect runs beside no other suspect.

Conclusion: refused stays refused. An innocent request can still be refused when two engines die under it that a first-time culprit shares with it.

--- a/features/decisions/policy_retry.feature
+++ b/features/decisions/policy_retry.feature
@@ -22,12 +22,20 @@
 
   Scenario: The request that crashes endpoints is convicted and others cleared
     Given 8 requests ran on endpoint "e1" when it died
-    Then request 1 may not join request 2
+    Then request 1 may not join request 2 of its death
     When requests 2 to 8 complete elsewhere
     And request 1 and 3 others new to it run on endpoint "e2" when it dies
     Then request 1 is refused for good
     And requests 2 to 8 are clear
 
+  Scenario: Suspects of different deaths do not run beside each other
+    Given requests 1 and 2 ran on endpoint "e1" when it died
+    And requests 3 and 4 ran on endpoint "e2" when it died 30 seconds later
+    Then request 2 may not join request 3
+    And request 2 may join request 9
+    When requests 3 to 3 complete elsewhere
+    Then request 2 may join request 3
+
   Scenario: Two that always died together are not both convicted
     Given 2 requests ran on endpoint "e1" when it died
     And 2 requests ran on endpoint "e2" when it died
@@ -89,3 +97,21 @@
   Scenario: Deaths far apart have no common cause
     Given 2 endpoints died far apart while each ran a request
     Then request 1 is judged SUSPECT
+
+  Scenario: A refused request stays refused when another endpoint dies soon after
+    Given request 1 ran on 2 endpoints that died, the second 30 seconds later
+    When request 1 is refused
+    And an endpoint that ran request 2 dies 1 second after the second one
+    Then request 1 is judged REFUSED
+
+  Scenario: A peer that saw more deaths takes over a refusal
+    Given request 1 ran on 2 endpoints that died, the second 30 seconds later
+    And a peer that knows of another death 1 second after the second one
+    When request 1 is refused
+    Then the peer judges request 1 SUSPECT before it is told and REFUSED afterwards
+
+  Scenario: A refused request that completes elsewhere is clear again
+    Given request 1 ran on 2 endpoints that died, the second 30 seconds later
+    When request 1 is refused
+    And requests 1 to 1 complete elsewhere
+    Then request 1 is judged CLEAR
--- a/features/steps/decisions_retry_steps.py
+++ b/features/steps/decisions_retry_steps.py
@@ -96,7 +96,39 @@
     assert context.quarantine.observe_death(death, 0)
 
 
-@then('request 1 may not join request 2')
+@given(
+    'requests {first:d} and {second:d} ran on endpoint "{name}" when it died'
+)
+def step_pair_died(
+    context: Context, first: int, second: int, name: str
+) -> None:
+    context.quarantine = create_quarantine()
+    death = Death(name, in_flight((first, second)))
+    context.quarantine.observe_death(death, 0)
+
+
+@given(
+    'requests {first:d} and {second:d} ran on endpoint "{name}" when it died'
+    ' {later:d} seconds later'
+)
+def step_pair_later(
+    context: Context, first: int, second: int, name: str, later: int
+) -> None:
+    death = Death(name, in_flight((first, second)))
+    context.quarantine.observe_death(death, later)
+
+
+@then('request {first:d} may join request {second:d}')
+def step_join(context: Context, first: int, second: int) -> None:
+    assert context.quarantine.may_join(marks(first), [marks(second)])
+
+
+@then('request {first:d} may not join request {second:d}')
+def step_no_join(context: Context, first: int, second: int) -> None:
+    assert not context.quarantine.may_join(marks(first), [marks(second)])
+
+
+@then('request 1 may not join request 2 of its death')
 def step_not_join(context: Context) -> None:
     assert not context.quarantine.may_join(marks(1), [marks(2)])
     assert context.quarantine.may_join(marks(1), [marks(99)])
@@ -227,3 +259,54 @@
 def step_judged(context: Context, number: int, verdict: str) -> None:
     found = context.quarantine.judge(marks(number), 2)
     assert found is Verdict[verdict], found
+
+
+def two_deaths() -> tuple[Death, ...]:
+    return tuple(Death(f'e{place}:r', in_flight((1,))) for place in (1, 2))
+
+
+@given(
+    'request 1 ran on 2 endpoints that died, the second {gap:d} seconds later'
+)
+def step_two_deaths(context: Context, gap: int) -> None:
+    context.quarantine = create_quarantine()
+    context.gap = gap
+    for place, death in enumerate(two_deaths()):
+        context.quarantine.observe_death(death, place * gap)
+
+
+@given(
+    'a peer that knows of another death {late:d} second after the second one'
+)
+def step_peer(context: Context, late: int) -> None:
+    context.peer = create_quarantine()
+    for place, death in enumerate(two_deaths()):
+        context.peer.observe_death(death, place * context.gap)
+    other = Death('e3:r', in_flight((2,)))
+    context.peer.observe_death(other, context.gap + late)
+
+
+@when('request 1 is refused')
+def step_refuse(context: Context) -> None:
+    assert context.quarantine.judge(marks(1), 2) is Verdict.REFUSED
+    context.deaths = context.quarantine.observe_refusal(marks(1))
+    assert {each.identity for each in context.deaths} == {'e1:r', 'e2:r'}
+    assert not context.quarantine.observe_refusal(marks(1))
+
+
+@when(
+    'an endpoint that ran request 2 dies {late:d} second after the second one'
+)
+def step_other_dies(context: Context, late: int) -> None:
+    other = Death('e3:r', in_flight((2,)))
+    context.quarantine.observe_death(other, context.gap + late)
+
+
+@then(
+    'the peer judges request 1 {before} before it is told and {after}'
+    ' afterwards'
+)
+def step_peer_judges(context: Context, before: str, after: str) -> None:
+    assert context.peer.judge(marks(1), 2) is Verdict[before]
+    context.peer.merge_refusal(marks(1), context.deaths, context.gap + 2)
+    assert context.peer.judge(marks(1), 2) is Verdict[after]
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/quarantine.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/quarantine.py
@@ -2,21 +2,24 @@
 
 When an endpoint dies, each request that it ran gets a strike, by its key and
 by the fingerprint of its body. Strikes name the death, so that merging those
-of peers twice or in any order gives the same. A suspect runs only among
-others than those it died with, which clears innocents and convicts the
-culprit after few deaths.
+of peers twice or in any order gives the same. A suspect runs beside no other
+suspect, which clears innocents and convicts the culprit after few deaths.
 
 Endpoints of one zone that die at the same moment with nothing in common have a
 common cause, such as the loss of the zone. The first such event is no evidence
 against the requests; further ones are, since several culprits may run at once.
 A request that died in several zones during the event is no victim of one zone's
 loss, and of a longer series of deaths only the first few are excused.
+
+A refusal is final: the strikes that it rests on are never excused afterwards,
+here or at peers, whatever else dies.
 """
 
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import TypeAlias
 
 import xxhash
 
@@ -29,6 +32,10 @@
 EXCUSED_DEATHS = 2
 
 
+#: A mark of a request and the identity of a death that it was in.
+Pair: TypeAlias = tuple[str, str]
+
+
 class Verdict(Enum):
     """How a request may run."""
 
@@ -73,13 +80,15 @@
     """Deaths known to this node, and what was cleared since.
 
     `cleared` holds (mark, death) pairs; a request that completes is cleared
-    of the deaths it was struck for until then. `zones` has the zone of each
-    endpoint; endpoints without one count as of the same.
+    of the deaths it was struck for until then. `counted` has the pairs that
+    refusals rest on. `zones` has the zone of each endpoint; endpoints without
+    one count as of the same.
     """
 
     deaths: OrderedDict[str, Death] = field(default_factory=OrderedDict)
     seen_at: dict[str, float] = field(default_factory=dict)
-    cleared: set[tuple[str, str]] = field(default_factory=set)
+    cleared: set[Pair] = field(default_factory=set)
+    counted: set[Pair] = field(default_factory=set)
     zones: Mapping[str, str] = field(default_factory=dict)
 
     def observe_death(self, death: Death, now: float) -> bool:
@@ -99,26 +108,50 @@
             oldest, _ = self.deaths.popitem(last=False)
             self.seen_at.pop(oldest)
             self.cleared = {pair for pair in self.cleared if pair[1] != oldest}
+            self.counted = {pair for pair in self.counted if pair[1] != oldest}
         return True
 
     def observe_completion(
         self,
         marks: frozenset[str],
-    ) -> frozenset[tuple[str, str]]:
+    ) -> frozenset[Pair]:
         """Clear a request that ran to its end; returns the pairs for peers."""
-        pairs = frozenset(
+        fresh = self.pairs(marks, self.deaths.values()) - self.cleared
+        self.cleared |= fresh
+        return fresh
+
+    def observe_refusal(self, marks: frozenset[str]) -> tuple[Death, ...]:
+        """Count the strikes of a refused request for good.
+
+        Returns the deaths for peers, none when all were counted already.
+        """
+        deaths = self.strikes(marks)
+        fresh = self.pairs(marks, deaths) - self.counted
+        self.counted |= fresh
+        return deaths if fresh else ()
+
+    def merge_refusal(
+        self, marks: frozenset[str], deaths: Iterable[Death], now: float
+    ) -> None:
+        """Take over a refusal of a peer, with the deaths it rests on."""
+        known = tuple(deaths)
+        self.merge(known, (), now)
+        self.counted |= self.pairs(marks, known)
+
+    def pairs(
+        self, marks: frozenset[str], deaths: Iterable[Death]
+    ) -> frozenset[Pair]:
+        """Return each death with the marks that a request has there."""
+        return frozenset(
             (mark, death.identity)
-            for death in self.deaths.values()
+            for death in deaths
             for mark in marks & death.marks()
         )
-        fresh = pairs - self.cleared
-        self.cleared |= fresh
-        return fresh
 
     def merge(
         self,
         deaths: Iterable[Death],
-        cleared: Iterable[tuple[str, str]],
+        cleared: Iterable[Pair],
         now: float,
     ) -> None:
         """Take over the strikes and clearances of a peer."""
@@ -133,7 +166,9 @@
             for death in self.deaths.values()
             if self.is_struck(marks, death)
         ]
-        excused = self.excused(struck)
+        excused = self.excused(
+            [death for death in struck if not self.is_counted(marks, death)]
+        )
         return tuple(death for death in struck if death not in excused)
 
     def excused(self, struck: list[Death]) -> list[Death]:
@@ -179,6 +214,10 @@
             for mark in marks & death.marks()
         )
 
+    def is_counted(self, marks: frozenset[str], death: Death) -> bool:
+        """Return whether a refusal of the request rests on the death."""
+        return not self.counted.isdisjoint(self.pairs(marks, (death,)))
+
     def judge(self, marks: frozenset[str], strike_limit: int) -> Verdict:
         """Return how the request may run.
 
@@ -190,6 +229,8 @@
             return Verdict.CLEAR
         if len(strikes) < strike_limit:
             return Verdict.SUSPECT
+        if all(self.is_counted(marks, death) for death in strikes):
+            return Verdict.REFUSED
         others = self.always_beside(marks, strikes)
         if others and len(strikes) == strike_limit:
             return Verdict.SUSPECT
@@ -217,16 +258,12 @@
     ) -> bool:
         """Return whether the request may run beside those running.
 
-        False when one of them is a suspect of the same death.
+        False when it and one of them are suspects: an innocent one that ran
+        beside two culprits, one after the other, could not be told from them.
         """
-        strikes = self.strikes(marks)
-        if not strikes:
+        if not self.strikes(marks):
             return True
-        return not any(
-            self.is_struck(other, death)
-            for other in running
-            for death in strikes
-        )
+        return not any(self.strikes(other) for other in running)
 
 
 def create_quarantine() -> Quarantine:
--- a/packages/turmericyard-node/src/turmericyard_node/callers/call.py
+++ b/packages/turmericyard-node/src/turmericyard_node/callers/call.py
@@ -14,7 +14,7 @@
     ServiceCall,
     call_service,
 )
-from turmericyard_decisions.quarantine import Verdict, request_marks
+from turmericyard_decisions.quarantine import request_marks
 from turmericyard_decisions.retry import Attempt, Ran, Retry
 from turmericyard_http.messages import Request, Response
 from turmericyard_node.callers.answers import (
@@ -33,6 +33,7 @@
 from turmericyard_node.callers.claiming import claim_key
 from turmericyard_node.callers.matching import deadline_of, match_route
 from turmericyard_node.claims import ClaimGranted
+from turmericyard_node.deaths import refuses
 from turmericyard_node.work import NoSlot, Slot, Work
 from turmericyard_protocol.messages import PermitRelease
 from turmericyard_tables.models import WorkKind
@@ -124,7 +125,7 @@
     """Run the call at an endpoint, again only where that is safe."""
     while True:
         work = matched.work
-        if application.judge(work) is Verdict.REFUSED:
+        if await refuses(application, work):
             return refused('crashes-endpoints', 'do not send it again')
         slot = await application.dispatcher.place(work)
         if isinstance(slot, NoSlot):
--- a/packages/turmericyard-node/src/turmericyard_node/callers/start.py
+++ b/packages/turmericyard-node/src/turmericyard_node/callers/start.py
@@ -24,7 +24,6 @@
     Token,
 )
 from turmericyard_clients.engine_reports import GenerationStart
-from turmericyard_decisions.quarantine import Verdict
 from turmericyard_decisions.retry import Attempt, Ran, Retry
 from turmericyard_node.callers.answers import (
     Outcome,
@@ -32,7 +31,7 @@
     not_run,
     refused,
 )
-from turmericyard_node.deaths import report_lost
+from turmericyard_node.deaths import refuses, report_lost
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.work import NoSlot, Slot, Work
 
@@ -58,8 +57,7 @@
 ) -> Started | Problem:
     """Return the running generation, or why there is none."""
     while True:
-        if application.judge(work) is Verdict.REFUSED:
-            log_event(Event.REQUEST_QUARANTINED, request=work.request)
+        if await refuses(application, work):
             return refused(
                 'crashes-endpoints',
                 'endpoints died each time it ran: do not send it again',
--- a/packages/turmericyard-node/src/turmericyard_node/deaths.py
+++ b/packages/turmericyard-node/src/turmericyard_node/deaths.py
@@ -1,13 +1,18 @@
-"""Deaths of endpoints: strikes against the requests that they ran."""
+"""Deaths of endpoints: strikes against the requests that they ran, refusals."""
 
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from turmericyard_decisions.quarantine import Death
+from turmericyard_decisions.quarantine import Death, Verdict
 from turmericyard_node.endpoint_state import EndpointState
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.peers.dispatch import handle_message
-from turmericyard_protocol.messages import ClearanceNotice, DeathNotice
+from turmericyard_node.work import Work
+from turmericyard_protocol.messages import (
+    ClearanceNotice,
+    DeathNotice,
+    RefusalNotice,
+)
 
 if TYPE_CHECKING:
     from turmericyard_node.application import Application
@@ -18,9 +23,16 @@
 async def declare_death(
     application: 'Application', state: EndpointState
 ) -> None:
-    """Strike each request that ran on an owned endpoint that died."""
+    """Strike each request that ran on an owned endpoint that died.
+
+    An endpoint that this node never reached has no known restart id. Its death
+    says nothing unless something ran there, and peers that saw it know it by
+    its id: counted as another one, it would look like a common cause.
+    """
     application.candidates.prefixes.forget(state.name)
     in_flight = state.take_in_flight()
+    if not state.restart and not in_flight:
+        return
     await strike(application, state.name, state.restart, in_flight)
 
 
@@ -54,10 +66,41 @@
     if not application.policy.quarantine.observe_death(death, now):
         return
     log_event(
-        Event.ENDPOINT_DIED, endpoint=endpoint, running=len(death.in_flight)
+        Event.ENDPOINT_DIED,
+        endpoint=endpoint,
+        restart=restart,
+        running=len(death.in_flight),
     )
-    in_flight_lists = tuple(tuple(sorted(marks)) for marks in death.in_flight)
-    await application.broadcast(DeathNotice(death.identity, in_flight_lists))
+    await application.broadcast(notice_of(death))
+
+
+def notice_of(death: Death) -> DeathNotice:
+    """Return what peers are told of a death."""
+    in_flight = tuple(tuple(sorted(marks)) for marks in death.in_flight)
+    return DeathNotice(death.identity, in_flight)
+
+
+def death_of(notice: DeathNotice) -> Death:
+    """Return the death that a peer tells of."""
+    in_flight = frozenset(frozenset(marks) for marks in notice.in_flight)
+    return Death(notice.identity, in_flight)
+
+
+async def refuses(application: 'Application', work: Work) -> bool:
+    """Return whether the work may not run; peers are told of a refusal.
+
+    They may know less of the deaths, or take other deaths for the cause.
+    """
+    if application.judge(work) is not Verdict.REFUSED:
+        return False
+    log_event(Event.REQUEST_QUARANTINED, request=work.request)
+    deaths = application.policy.quarantine.observe_refusal(work.marks)
+    if deaths:
+        notices = tuple(notice_of(death) for death in deaths)
+        await application.broadcast(
+            RefusalNotice(tuple(sorted(work.marks)), notices)
+        )
+    return True
 
 
 async def clear(application: 'Application', marks: Marks) -> None:
@@ -72,9 +115,8 @@
     message: DeathNotice, sender: str, application: 'Application'
 ) -> None:
     """Take over the strikes of a peer."""
-    in_flight = frozenset(frozenset(marks) for marks in message.in_flight)
     application.policy.quarantine.merge(
-        (Death(message.identity, in_flight),), (), application.clock()
+        (death_of(message),), (), application.clock()
     )
 
 
@@ -84,3 +126,15 @@
 ) -> None:
     """Take over the clearances of a peer."""
     application.policy.quarantine.merge((), message.pairs, application.clock())
+
+
+@handle_message.register(RefusalNotice)
+async def answer_refusal(
+    message: RefusalNotice, sender: str, application: 'Application'
+) -> None:
+    """Refuse the request here as well."""
+    application.policy.quarantine.merge_refusal(
+        frozenset(message.marks),
+        map(death_of, message.deaths),
+        application.clock(),
+    )
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/message_types.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/message_types.py
@@ -31,6 +31,7 @@
     22: messages.GenerationTaken,
     23: messages.EndpointFree,
     24: messages.PaceNotice,
+    25: messages.RefusalNotice,
     30: messages.ExplainRequest,
     31: messages.ExplainReply,
     40: fleet_messages.FleetBeat,
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/messages.py
@@ -7,7 +7,7 @@
 from turmericyard_protocol.message import Message
 
 #: Raised when the meaning of a message changes.
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 
 
 class Challenge(Message, frozen=True):
@@ -222,6 +222,13 @@
     pairs: tuple[tuple[str, str], ...]
 
 
+class RefusalNotice(Message, frozen=True):
+    """A request is refused for good; `deaths` are those that it ran in."""
+
+    marks: tuple[str, ...]
+    deaths: tuple[DeathNotice, ...]
+
+
 class GenerationTaken(Message, frozen=True):
     """Another node serves the generation's stream and settles its permit."""
 
