Wait for two hubs before the test silences the first

Cause, read in the code: the world counts as ready when node n-0 has heard both others' beats, while n-0 chooses its own hubs only at its next beat. The step read the choice in between.

Change: the step waits, within the world's limit, until the node has chosen as many hubs as the product wants; the check itself is as it was.

Conclusion: a fault of the step. A node with one hub for the length of a beat after its start asks that one.

--- a/features/steps/forwarding_hub_places_steps.py
+++ b/features/steps/forwarding_hub_places_steps.py
@@ -14,6 +14,7 @@
 from support.fleet.world import World
 from turmericyard_node.forwarding.answers import FleetEvidence
 from turmericyard_node.forwarding.hub import GRANT_SECONDS, create_hub
+from turmericyard_node.forwarding.hub_choice import HUBS
 from turmericyard_node.forwarding.load_book import Total
 from turmericyard_protocol.fleet_messages import (
     CopyPlaceRequest,
@@ -55,9 +56,10 @@
 @when('a client asks for a stream while the first hub answers no peer')
 def step_mute_hub(context: Context) -> None:
     async def scenario(world: World) -> None:
-        hubs = world.nodes['n-0'].fleet.hubs.names
-        asker = next(name for name in world.nodes if name not in hubs)
-        first, context.second = hubs
+        choice = world.nodes['n-0'].fleet.hubs
+        await world.until(lambda: len(choice.names) == HUBS)
+        asker = next(name for name in world.nodes if name not in choice.names)
+        first, context.second = choice.names
 
         async def hang(_payload: Any, _sender: str) -> None:
             await curio.sleep(HANG_SECONDS)
