Compress long frames between nodes and encode a hub's update once

A hub also encoded each update once per node.

Change: frames of 1 KB or more are compressed with zlib at its quickest level; decoding expands to the longest frame and no further, and damaged, cut or overlong ones are typed errors. A hub encodes an update once and sends the frame to all nodes. A plain update that arrives no longer clears the mark of a node that missed an earlier one; only everything does.

Not taken: the websocket's own compression, which would compress each frame once per node, the shortest too, and keep a window for each of N connections.

--- a/features/forwarding/hub_news.feature
+++ b/features/forwarding/hub_news.feature
@@ -20,3 +20,8 @@
     Given a world with 2 plain endpoints and 1 node
     When a hub finds a strike before it knows a node's address and a leaving endpoint after it
     Then that node is told of both without a further beat
+
+  Scenario: An update is encoded once for all nodes
+    Given a world with 2 plain endpoints and 1 node
+    When a hub that 50 nodes beat to tells of a leaving endpoint
+    Then 50 nodes got the same encoded update
--- a/features/steps/forwarding_hub_news_steps.py
+++ b/features/steps/forwarding_hub_news_steps.py
@@ -14,6 +14,7 @@
 from turmericyard_decisions.strikes import Strike
 from turmericyard_node.forwarding.findings import create_findings
 from turmericyard_node.forwarding.hub_choice import HubNews
+from turmericyard_protocol.codec import decode
 from turmericyard_protocol.errors import PeerUnreachable
 from turmericyard_protocol.fleet_messages import HubUpdate, StoreItem
 
@@ -104,14 +105,16 @@
     """Keeps the updates that a hub sends; without an address none arrives."""
 
     sent: list[HubUpdate] = field(default_factory=list)
+    frames: list[bytes] = field(default_factory=list)
     has_address: bool = True
 
-    async def send(
-        self, node: str, update: HubUpdate
+    async def send_frame(
+        self, node: str, frame: bytes
     ) -> Result[None, PeerUnreachable]:
         if not self.has_address:
             return Failure(PeerUnreachable(node))
-        self.sent.append(update)
+        self.frames.append(frame)
+        self.sent.append(decode(frame).unwrap().payload)
         return Success(None)
 
 
@@ -171,3 +174,29 @@
     assert update.whole
     assert len(update.findings.strikes) == 1, update
     assert len(update.findings.leaving) == 1, update
+
+
+@when('a hub that {count:d} nodes beat to tells of a leaving endpoint')
+def step_many(context: Context, count: int) -> None:
+    context.mesh = RecordingMesh()
+
+    async def scenario(world: World) -> None:
+        fleet = world.nodes['n-0'].fleet
+        beat = (fleet.clock(), fleet.beat(HUB))
+        hub = replace(
+            fleet.hub,
+            mesh=context.mesh,
+            findings=create_findings(fleet.knowledge, fleet.clock),
+            heard={f'node-{number}': beat for number in range(count)},
+        )
+        endpoint = next(iter(fleet.knowledge.book.endpoints.values()))
+        await hub.findings.report_leaving(endpoint)
+        await hub.push()
+
+    run(context, scenario)
+
+
+@then('{count:d} nodes got the same encoded update')
+def step_same(context: Context, count: int) -> None:
+    assert len(context.mesh.frames) == count
+    assert len({id(frame) for frame in context.mesh.frames}) == 1
--- a/features/steps/protocol_codec_steps.py
+++ b/features/steps/protocol_codec_steps.py
@@ -1,5 +1,6 @@
 """Steps for the messages between nodes."""
 
+import zlib
 from typing import Any
 
 import cbor2
@@ -11,8 +12,18 @@
 from msgspec.structs import fields, replace
 from returns.result import Failure, Success
 
-from turmericyard_protocol.codec import Envelope, decode, encode
+from turmericyard_protocol.codec import (
+    MAX_FRAME_BYTES,
+    Envelope,
+    decode,
+    encode,
+)
 from turmericyard_protocol.errors import MalformedMessage
+from turmericyard_protocol.fleet_messages import (
+    FleetBeat,
+    HubUpdate,
+    StoreItem,
+)
 from turmericyard_protocol.handshake import (
     check_hello,
     check_welcome,
@@ -144,3 +155,68 @@
     failure = context.shaken.failure()
     assert type(failure).__name__ == error
     assert failure.message
+
+
+def view_of(count: int) -> HubUpdate:
+    """Return a whole view with records of runners as the platform has them."""
+    items = tuple(
+        StoreItem(
+            f'runner/i-{number}',
+            b'{"address": "10.0.%d.%d:8000", "zone": "z-%d", "service":'
+            b' "engines", "capacity": 24000, "state": "ready"}'
+            % (number // 250, number % 250, number % 3),
+            1000 + number,
+        )
+        for number in range(count)
+    )
+    return HubUpdate(1, True, (), None, 2000, 10, False, items)
+
+
+@when("a hub's view of {count:d} endpoints and a beat are encoded")
+def step_encode(context: Context, count: int) -> None:
+    context.view = view_of(count)
+    context.beat = FleetBeat(1, 2, True, (), ())
+    context.view_frame = encode(context.view)
+    context.beat_frame = encode(context.beat)
+
+
+@then('the frame of the view is less than a third of its CBOR')
+def step_third(context: Context) -> None:
+    plain = zlib.decompress(context.view_frame)
+    assert len(cbor2.loads(plain)) > 2
+    assert len(context.view_frame) < len(plain) / 3, len(context.view_frame)
+
+
+@then('the frame of the beat is its CBOR')
+def step_plain(context: Context) -> None:
+    assert cbor2.loads(context.beat_frame)[2] == 1
+
+
+@then('both are decoded to the messages that they were')
+def step_both(context: Context) -> None:
+    assert decode(context.view_frame).unwrap().payload == context.view
+    assert decode(context.beat_frame).unwrap().payload == context.beat
+
+
+def damaged(fault: str) -> bytes:
+    frame = zlib.compress(cbor2.dumps([8, 0, 'x' * 5000]))
+    if fault == 'ends early':
+        return frame[:-5]
+    if fault == 'has bytes after its end':
+        return frame + b'more'
+    if fault == 'has a wrong byte':
+        middle = len(frame) // 2
+        return frame[:middle] + b'\xff\xff' + frame[middle + 2 :]
+    return zlib.compress(bytes(100 * MAX_FRAME_BYTES))
+
+
+@when('a compressed frame is decoded that {fault}')
+def step_damaged(context: Context, fault: str) -> None:
+    context.decoded = decode(damaged(fault))
+
+
+@then('the decoding fails with "{error}"')
+def step_decoding_fails(context: Context, error: str) -> None:
+    failure = context.decoded.failure()
+    assert isinstance(failure, MalformedMessage)
+    assert failure.detail == error, failure.detail
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -23,6 +23,7 @@
 from turmericyard_node.forwarding.knowledge import Knowledge
 from turmericyard_node.forwarding.load_book import NOTHING, Total
 from turmericyard_node.peers.mesh import PeerMesh
+from turmericyard_protocol.codec import encode
 from turmericyard_protocol.fleet_messages import (
     EndpointUse,
     Findings,
@@ -203,27 +204,29 @@
             items=items,
             findings=findings,
         )
+        missed = self.heard.keys() & self.missed
+        frame = encode(update)
+        everything = encode(self.whole()) if missed else frame
+        self.missed -= missed
         async with curio.TaskGroup() as group:
             for node in tuple(self.heard):
-                await group.spawn(self.send, node, update)
+                told = everything if node in missed else frame
+                await group.spawn(self.send, node, told)
 
-    async def send(self, node: str, update: HubUpdate) -> None:
-        """Send an update, or everything to a node that missed an earlier one.
+    async def send(self, node: str, frame: bytes) -> None:
+        """Send an update that was encoded once for all nodes.
 
         A node that does not take it gets everything with the next update or
         the next beat, whichever comes first.
         """
-        told = self.whole() if node in self.missed else update
         try:
             async with curio.timeout_after(SEND_SECONDS):
-                sent = await self.mesh.send(node, told)
+                sent = await self.mesh.send_frame(node, frame)
         except curio.TaskTimeout:
             self.missed.add(node)
             await self.mesh.drop(node)
             return
-        if isinstance(sent, Success):
-            self.missed.discard(node)
-        else:
+        if not isinstance(sent, Success):
             self.missed.add(node)
 
     def grant(self, use: EndpointUse) -> None:
--- a/packages/turmericyard-node/src/turmericyard_node/peers/link.py
+++ b/packages/turmericyard-node/src/turmericyard_node/peers/link.py
@@ -75,10 +75,10 @@
             return Failure(PeerTimeout(self.node))
         return Success(reply.payload)
 
-    async def notify(self, payload: Any) -> Result[None, PeerError]:
-        """Send a notice; success says only that it was handed over."""
+    async def notify(self, frame: bytes) -> Result[None, PeerError]:
+        """Send an encoded notice; success says only that it was handed over."""
         try:
-            await self.channel.send(encode(payload))
+            await self.channel.send(frame)
         except (OSError, ChannelClosed):
             await self.close()
             return Failure(PeerUnreachable(self.node))
--- a/packages/turmericyard-node/src/turmericyard_node/peers/mesh.py
+++ b/packages/turmericyard-node/src/turmericyard_node/peers/mesh.py
@@ -83,10 +83,16 @@
 
     async def send(self, node: str, payload: Any) -> Result[None, PeerError]:
         """Send a notice that needs no reply."""
+        return await self.send_frame(node, encode(payload))
+
+    async def send_frame(
+        self, node: str, frame: bytes
+    ) -> Result[None, PeerError]:
+        """Send a notice that was encoded once for several peers."""
         link = await self.link_to(node)
         if link is None:
             return Failure(PeerUnreachable(node))
-        return await link.notify(payload)
+        return await link.notify(frame)
 
     async def drop(self, node: str) -> None:
         """Close the link to a peer; the next message dials again."""
@@ -210,24 +216,25 @@
 
     def sent_bytes(self) -> int:
         """Return all bytes sent to peers since the start."""
-        open_bytes = sum(channel.bytes_sent for channel in self.open_channels())
+        open_bytes = sum(channel.bytes_sent for channel in open_channels(self))
         return self.traffic.bytes_sent + open_bytes
 
     def sent_messages(self) -> int:
         """Return all messages sent to peers since the start."""
         open_frames = sum(
-            channel.frames_sent for channel in self.open_channels()
+            channel.frames_sent for channel in open_channels(self)
         )
         return self.traffic.frames_sent + open_frames
 
-    def open_channels(self) -> list[Channel]:
-        """Return the channels to and from all peers."""
-        links = (*self.links.values(), *self.lifelines.values())
-        return [*(link.channel for link in links), *self.accepted]
-
     async def close(self) -> None:
         """Close every link and end every task; the process acts no more."""
         self.stopping = True
         for node in list(self.links):
             await self.drop(node)
         await self.tasks.cancel_all()
+
+
+def open_channels(mesh: PeerMesh) -> list[Channel]:
+    """Return the channels to and from all peers."""
+    links = (*mesh.links.values(), *mesh.lifelines.values())
+    return [*(link.channel for link in links), *mesh.accepted]
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/codec.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/codec.py
@@ -2,9 +2,11 @@
 
 A frame is `[type number, correlation id, field, ...]`. Correlation id 0 is a
 notice; a positive one a request; a negative one the reply to it. A message
-inside a field is the list of its own fields.
+inside a field is the list of its own fields. Longer frames are compressed with
+zlib; its first byte begins no CBOR array, so that frames tell which they are.
 """
 
+import zlib
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,8 +17,15 @@
 from turmericyard_protocol.errors import MalformedMessage
 from turmericyard_protocol.message_types import MESSAGE_TYPES
 
-#: Longest frame accepted from a peer, in bytes.
+#: Longest frame accepted from a peer, in bytes, also once it is expanded.
 MAX_FRAME_BYTES = 2_097_152
+#: Frames of this length or longer are compressed, in bytes: shorter ones, such
+#: as the handshake and permits, fit into one packet as they are.
+COMPRESSED_FROM_BYTES = 1024
+#: The quickest level: records repeat each other, which every level finds.
+COMPRESSION_LEVEL = 1
+#: First byte of a zlib stream with the default window.
+ZLIB_START = 0x78
 HEADER_ITEMS = 2
 
 
@@ -34,11 +43,37 @@
 def encode(payload: Any, correlation: int = 0) -> bytes:
     """Return the frame of a registered message."""
     parts = msgspec.to_builtins(payload, builtin_types=(bytes,))
-    return cbor2.dumps([TYPE_NUMBERS[type(payload)], correlation, *parts])
+    frame = cbor2.dumps([TYPE_NUMBERS[type(payload)], correlation, *parts])
+    if len(frame) < COMPRESSED_FROM_BYTES:
+        return frame
+    return zlib.compress(frame, COMPRESSION_LEVEL)
 
 
 def decode(frame: bytes) -> Result[Envelope, MalformedMessage]:
     """Return the checked message of a frame; never raises."""
+    if frame[:1] == bytes((ZLIB_START,)):
+        return expand(frame).bind(decode_plain)
+    return decode_plain(frame)
+
+
+def expand(frame: bytes) -> Result[bytes, MalformedMessage]:
+    """Return a compressed frame as it was, to a byte past the longest."""
+    expander = zlib.decompressobj()
+    try:
+        plain = expander.decompress(frame, MAX_FRAME_BYTES + 1)
+    except zlib.error:
+        return Failure(MalformedMessage('compressed: error'))
+    if len(plain) > MAX_FRAME_BYTES:
+        return Success(plain)
+    if not expander.eof:
+        return Failure(MalformedMessage('compressed: cut short'))
+    if expander.unused_data:
+        return Failure(MalformedMessage('compressed: bytes after'))
+    return Success(plain)
+
+
+def decode_plain(frame: bytes) -> Result[Envelope, MalformedMessage]:
+    """Return the checked message of a frame that is not compressed."""
     if len(frame) > MAX_FRAME_BYTES:
         return Failure(MalformedMessage('frame too long'))
     try:
