Do not refuse a burst by the rate of a rest

Known red "A node is frozen with bookings in flight and thawed later": the second try of 1 of 24 bookings, at a node that was not frozen, was refused as "overloaded".

Cause, read and shown without the processes: the rate of a pool is what it took in the last 5 s. After a rest it falls to nothing, for lack of requests. The first of several requests that come at one moment waits, each further one finds work ahead of it and a rate of nothing: "predicted wait 60 s". Bookings whose claims were written together come so. That the failed run was this is likely, not proved: its record had the kind of the refusal and no words.

Ruled out: a full queue (24 bookings, the limit is in the hundreds).

Change: a request that finds nothing ahead, 1 s or more after the last was taken, restarts the measurement. Records of callers keep the words of an answer, so that a next failure tells more.

Conclusion: an idle node does not call itself overloaded.

--- a/packages/turmericyard-bench/src/turmericyard_bench/caller.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/caller.py
@@ -145,7 +145,12 @@
             await stream.close()
         problem = Response(stream.status, body=content).json()
         outcome = str(problem.get('outcome', LOST))
-        record.note(boot_seconds(), outcome, str(problem.get('kind')))
+        record.note(
+            boot_seconds(),
+            outcome,
+            str(problem.get('kind')),
+            str(problem.get('message', '')),
+        )
         if outcome == REFUSED:
             record.ended = True
         await self.heed(address, problem)
@@ -247,7 +252,12 @@
         payload = answer.unwrap().json()
         outcome = str(payload.get('outcome', LOST))
         record.seconds = boot_seconds() - sent_at
-        record.note(boot_seconds(), outcome, str(payload.get('kind', '')))
+        record.note(
+            boot_seconds(),
+            outcome,
+            str(payload.get('kind', '')),
+            str(payload.get('message', '')),
+        )
         if outcome in {DONE, REFUSED}:
             record.ended = True
             record.result = payload.get('result')
--- a/packages/turmericyard-bench/src/turmericyard_bench/records.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/records.py
@@ -6,12 +6,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
-    """One answer to one request id; `at` in boot-clock seconds."""
+    """One answer to one request id; `at` in boot-clock seconds.
+
+    `message` has the words of a problem, for a person who reads a failure.
+    """
 
     request: str
     outcome: str
     kind: str
     at: float
+    message: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,9 +88,11 @@
         self.tokens = []
         self.asked_at = self.asked_at or now
 
-    def note(self, at: float, outcome: str, kind: str) -> None:
+    def note(
+        self, at: float, outcome: str, kind: str, message: str = ''
+    ) -> None:
         """Add an answer to the request id of this attempt."""
-        self.verdicts.append(Verdict(self.request, outcome, kind, at))
+        self.verdicts.append(Verdict(self.request, outcome, kind, at, message))
 
     def intervals(self) -> list[float]:
         """Return the seconds between tokens."""
@@ -138,9 +144,11 @@
         ]
         return times[-1] - times[0] if times else 0
 
-    def note(self, at: float, outcome: str, kind: str) -> None:
+    def note(
+        self, at: float, outcome: str, kind: str, message: str = ''
+    ) -> None:
         """Add an answer to the request id of this attempt."""
-        self.verdicts.append(Verdict(self.request, outcome, kind, at))
+        self.verdicts.append(Verdict(self.request, outcome, kind, at, message))
 
 
 @dataclass(slots=True)
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/overload.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/overload.py
@@ -8,6 +8,9 @@
 from dataclasses import dataclass
 
 RATE_WINDOW_SECONDS = 5.0
+#: A queue that is empty after this time with nothing taken, in seconds, was
+#: empty for lack of requests: engines take a step in a twentieth of it.
+REST_SECONDS = 1.0
 MIN_RETRY_SECONDS = 0.5
 MAX_RETRY_SECONDS = 60.0
 DEADLINE_SHARE = 0.9
@@ -34,7 +37,10 @@
 
 @dataclass(slots=True)
 class ServiceRate:
-    """Tokens a second that a pool takes, averaged over a moving window."""
+    """Tokens a second that a pool takes, averaged over a moving window.
+
+    It tells what the pool can take only while requests wait for it.
+    """
 
     tokens: float = 0
     at: float = 0
@@ -48,6 +54,16 @@
         self.tokens = self.remaining(now) + tokens
         self.at = now
 
+    def rest(self, now: float) -> None:
+        """Note that a request found nothing ahead of it.
+
+        After a rest the rate told how little was asked for, and a burst would
+        be refused by it while endpoints are idle; it is measured anew.
+        """
+        if now - self.at > REST_SECONDS:
+            self.started_at = None
+            self.tokens = 0
+
     def remaining(self, now: float) -> float:
         """Return the counted tokens, reduced for their age."""
         age = max(0, now - self.at)
--- a/packages/turmericyard-node/src/turmericyard_node/dispatcher.py
+++ b/packages/turmericyard-node/src/turmericyard_node/dispatcher.py
@@ -91,6 +91,8 @@
             return no_capacity()
         rate = self.rates.setdefault(work.route.pools, ServiceRate())
         ahead = self.queue.tokens_ahead(work.entry(now), self.rivals(work))
+        if not ahead:
+            rate.rest(now)
         verdict = judge_wait(ahead, rate.per_second(now), now, work.deadline_at)
         if isinstance(verdict, Shed):
             return NoSlot(
