--- a/features/steps/decisions_retry_steps.py
+++ b/features/steps/decisions_retry_steps.py
@@ -8,12 +8,12 @@
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 
+from support.request_marks import in_flight, marks
 from turmericyard_decisions.overload import Keep, Shed, judge_wait
 from turmericyard_decisions.quarantine import (
     Death,
     Verdict,
     create_quarantine,
-    request_marks,
 )
 from turmericyard_decisions.retry import (
     INITIAL_RETRIES,
@@ -25,14 +25,6 @@
 )
 
 
-def marks(number: int, key: str = '') -> frozenset[str]:
-    return request_marks('w', key or f'key-{number}', f'{number}'.encode())
-
-
-def in_flight(numbers) -> frozenset[frozenset[str]]:
-    return frozenset(marks(number) for number in numbers)
-
-
 @given('an {kind} attempt number {number:d} of which {ran} ran')
 def step_attempt(context: Context, kind: str, number: int, ran: str) -> None:
     context.attempt = Attempt('w', number, kind == 'idempotent', Ran[ran], 30)
@@ -259,54 +251,3 @@
 def step_judged(context: Context, number: int, verdict: str) -> None:
     found = context.quarantine.judge(marks(number), 2)
     assert found is Verdict[verdict], found
-
-
-def two_deaths() -> tuple[Death, ...]:
-    return tuple(Death(f'e{place}:r', in_flight((1,))) for place in (1, 2))
-
-
-@given(
-    'request 1 ran on 2 endpoints that died, the second {gap:d} seconds later'
-)
-def step_two_deaths(context: Context, gap: int) -> None:
-    context.quarantine = create_quarantine()
-    context.gap = gap
-    for place, death in enumerate(two_deaths()):
-        context.quarantine.observe_death(death, place * gap)
-
-
-@given(
-    'a peer that knows of another death {late:d} second after the second one'
-)
-def step_peer(context: Context, late: int) -> None:
-    context.peer = create_quarantine()
-    for place, death in enumerate(two_deaths()):
-        context.peer.observe_death(death, place * context.gap)
-    other = Death('e3:r', in_flight((2,)))
-    context.peer.observe_death(other, context.gap + late)
-
-
-@when('request 1 is refused')
-def step_refuse(context: Context) -> None:
-    assert context.quarantine.judge(marks(1), 2) is Verdict.REFUSED
-    context.deaths = context.quarantine.observe_refusal(marks(1))
-    assert {each.identity for each in context.deaths} == {'e1:r', 'e2:r'}
-    assert not context.quarantine.observe_refusal(marks(1))
-
-
-@when(
-    'an endpoint that ran request 2 dies {late:d} second after the second one'
-)
-def step_other_dies(context: Context, late: int) -> None:
-    other = Death('e3:r', in_flight((2,)))
-    context.quarantine.observe_death(other, context.gap + late)
-
-
-@then(
-    'the peer judges request 1 {before} before it is told and {after}'
-    ' afterwards'
-)
-def step_peer_judges(context: Context, before: str, after: str) -> None:
-    assert context.peer.judge(marks(1), 2) is Verdict[before]
-    context.peer.merge_refusal(marks(1), context.deaths, context.gap + 2)
-    assert context.peer.judge(marks(1), 2) is Verdict[after]
