Name the struck requests and their marks when an endpoint dies

The log of a crash could not tell whether strikes against one cause add up. endpoint:died lists attempts and marks, request:quarantined the mark.

--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
@@ -24,18 +24,26 @@
 CONNECT_SECONDS = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenAnswer:
+    """An answer that broke off, and the strikes at send of its request."""
+
+    attempt: str
+    strike: Strike
+
+
 @dataclass(slots=True)
 class CrashDetector:
     """Counts strikes against requests whose endpoints crash.
 
-    `broken` has, by endpoint, the strikes at send of the requests whose
-    connections broke. An endpoint whose connections break before it began its
-    answers has crashed when it refuses the next connection.
+    `broken` has the broken answers by endpoint. An endpoint whose connections
+    break before it began its answers has crashed when it refuses the next
+    connection.
     """
 
     findings: FindingRegistry
     tasks: BackgroundTasks
-    broken: dict[str, list[Strike]] = field(default_factory=dict)
+    broken: dict[str, list[BrokenAnswer]] = field(default_factory=dict)
 
     @property
     def strike_registry(self) -> StrikeRegistry:
@@ -79,11 +87,12 @@
         if endpoint.leaving_since is not None:
             return
         job.broken_answers += 1
+        broken_answer = BrokenAnswer(job.attempt, job.strikes_at_send)
         broken_off = self.broken.get(endpoint.identity)
         if broken_off is not None:
-            broken_off.append(job.strikes_at_send)
+            broken_off.append(broken_answer)
             return
-        self.broken[endpoint.identity] = [job.strikes_at_send]
+        self.broken[endpoint.identity] = [broken_answer]
         await self.tasks.spawn(self.check, endpoint)
 
     async def check(self, endpoint: Endpoint) -> None:
@@ -97,10 +106,13 @@
             Event.ENDPOINT_DIED,
             endpoint=endpoint.identity,
             requests=len(broken_off),
-            strikes=max(sent.count for sent in broken_off) + 1,
+            strikes=max(each.strike.count for each in broken_off) + 1,
+            attempts=[each.attempt for each in broken_off],
+            marks=[each.strike.mark.hex() for each in broken_off],
         )
         await self.findings.report_strikes(
-            map(self.strike_registry.record_strike, broken_off)
+            self.strike_registry.record_strike(each.strike)
+            for each in broken_off
         )
 
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/request_handler.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/request_handler.py
@@ -105,6 +105,7 @@
         log_event(
             Event.REQUEST_QUARANTINED,
             attempt=job.attempt,
+            mark=job.mark.hex(),
             strikes=self.calls.sender.crashes.strike_registry.known(
                 job.mark
             ).count,
