Refuse requests with a part of a prompt that crashes engines

Callers saw: requests of one kind crashed engine after engine; their own and their neighbours' runs broke off.

Cause: evidence against crashes was kept by the digest of caller, path and body. Requests that share only a part of their prompts never got a second strike. The class of fault: evidence kept under an identity narrower than that of the cause.

Ruled out: crashes not recognized (each has endpoint:died), late news between nodes (no mark was struck twice on any node).

Change: the parts of a prompt that others may share are marks of their own. Strikes against them spread with those against requests; a stream that begins clears its parts everywhere, so that parts of sound requests stay usable. A run with a known strike that has not begun is not continued elsewhere, and the check is repeated after a wait for room.

--- a/features/forwarding/crashes.feature
+++ b/features/forwarding/crashes.feature
@@ -17,6 +17,14 @@
     When other requests run at each endpoint that crashes and are then repeated
     Then the other requests are all answered 200
 
+  # Guards against a crashing part of prompts whose requests are all different.
+  Scenario: Requests with a part of a prompt that crashes engines are refused
+    Given a world with 6 engines and 3 nodes
+    When 12 different prompts with a part that crashes engines reach all nodes in turn, each beside a sound prompt
+    Then at most 5 endpoints crashed
+    And the last 6 requests with the part are refused with a time to retry
+    And sound prompts with all other parts are served by every node
+
   Scenario: Answers that break off do not count as crashes
     Given a world with 2 plain endpoints and 1 node
     And all endpoints that break off their answers
--- a/features/steps/forwarding_crashes_steps.py
+++ b/features/steps/forwarding_crashes_steps.py
@@ -16,6 +16,9 @@
 from turmericyard_decisions.strikes import STRIKE_LIMIT, StrikeRegistry
 
 CRASHING_BODY = b'deadly'
+FIRST_PART = 'aa01'
+SOUND_PART = 'bb02'
+CRASHING_PART = 'dd03'
 SEED = 1
 #: Time between two attempts of a client, in seconds.
 PAUSE_SECONDS = 0.3
@@ -89,6 +92,74 @@
     assert {each.status for each in context.others} == {200}, context.others
 
 
+def prompt_parts(*shared: str) -> str:
+    """Return a header of prompt parts that ends with one of the request."""
+    parts = ','.join(f'{part}:100' for part in shared)
+    return f'{parts},{uuid4().hex}:900'
+
+
+async def ask_prompt(world: World, node: str, *shared: str) -> Answer:
+    attempt = f'at-{uuid4().hex}'
+    return await world.ask(
+        node,
+        '/stream/a',
+        attempt,
+        body=attempt.encode(),
+        x_turmericyard_token_count='1000,400',
+        x_turmericyard_prompt_prefix=prompt_parts(*shared),
+    )
+
+
+@when(
+    '{number:d} different prompts with a part that crashes engines reach all'
+    ' nodes in turn, each beside a sound prompt'
+)
+def step_crashing_part(context: Context, number: int) -> None:
+    async def scenario(world: World) -> None:
+        for runner in world.runners.values():
+            runner.crashing_parts.add(CRASHING_PART)
+            runner.head_seconds = 0.1
+        context.answers = []
+        nodes = cycle(world.nodes)
+        for _ in range(number):
+            sound = await curio.spawn(
+                ask_prompt, world, next(nodes), FIRST_PART, SOUND_PART
+            )
+            context.answers.append(
+                await ask_prompt(world, next(nodes), FIRST_PART, CRASHING_PART)
+            )
+            await sound.join()
+            await curio.sleep(PAUSE_SECONDS)
+        context.crashed = crashed(world)
+        context.others = [
+            await ask_prompt(world, node, FIRST_PART, SOUND_PART)
+            for node in world.nodes
+        ]
+
+    run(context, scenario)
+
+
+@then('at most {number:d} endpoints crashed')
+def step_crashed_most(context: Context, number: int) -> None:
+    assert context.crashed <= number, (context.crashed, context.answers)
+
+
+@then(
+    'the last {number:d} requests with the part are refused with a time to'
+    ' retry'
+)
+def step_part_refused(context: Context, number: int) -> None:
+    for answer in context.answers[-number:]:
+        assert answer.status == 503, context.answers
+        assert float(answer.headers['retry-after']) > 0, answer
+
+
+@then('sound prompts with all other parts are served by every node')
+def step_sound_prompts(context: Context) -> None:
+    assert {each.status for each in context.others} == {200}, context.others
+    assert all(each.whole for each in context.others), context.others
+
+
 @when('other requests run at each endpoint that crashes and are then repeated')
 def step_beside(context: Context) -> None:
     async def scenario(world: World) -> None:
@@ -180,7 +251,7 @@
                 )
                 assert registries[node].known(mark).count == sent.count + 1
             else:
-                changes.append(registries[node].clear_strikes(sent))
+                changes.append(registries[node].clear_strikes(mark))
         shared = [strike for strike in changes if strike is not None]
         for place, registry in enumerate(registries):
             for strike in shared if place else reversed(shared):
@@ -210,4 +281,4 @@
     sent = registry.known(b'm')
     for _ in range(STRIKE_LIMIT + 1):
         registry.record_strike(sent)
-    assert not registry.refuses(b'm')
+    assert registry.known(b'm').count == 1
--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -68,6 +68,8 @@
     back_off_seconds: float | None = None
     #: Requests with one of these bodies crash it.
     crashing: set[bytes] = field(default_factory=set)
+    #: Requests whose prompt has one of these parts crash it.
+    crashing_parts: set[str] = field(default_factory=set)
     crashes: list[str] = field(default_factory=list)
     #: Ends the runner and starts it anew.
     crash: Callable[[str], Awaitable[None]] | None = None
@@ -99,7 +101,8 @@
         fault = self.take_fault()
         if headers.get('x-turmericyard-expect-instance') != self.identity:
             return OpaqueResponse(421, (echo,))
-        if request.body in self.crashing and self.crash is not None:
+        if self.crash is not None and self.is_crashing(request):
+            await curio.sleep(self.head_seconds)
             self.crashes.append(attempt)
             await self.crash(self.identity)
             await curio.sleep(1000)
@@ -110,6 +113,14 @@
             return self.stream(headers, attempt, echo, fault)
         return await self.call(request, attempt, echo, fault)
 
+    def is_crashing(self, request: Request) -> bool:
+        """Return whether a request crashes this runner."""
+        prefix = request.headers.get('x-turmericyard-prompt-prefix', '')
+        parts = {part.partition(':')[0] for part in prefix.split(',')}
+        return request.body in self.crashing or not parts.isdisjoint(
+            self.crashing_parts
+        )
+
     def not_run(self) -> Headers:
         """Return the lines of a request that is turned away."""
         lines = [(b'x-turmericyard-not-executed', b'1')]
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/strikes.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/strikes.py
@@ -1,13 +1,15 @@
-"""Refuses requests that repeatedly crash endpoints.
+"""Refuses requests and parts of prompts that repeatedly crash endpoints.
 
-A crash is a strike against each request that ran on the endpoint, including
-those that did not cause it. A further strike counts only when the request was
-sent again after the previous one was known. A request in progress at several
+Requests and parts are identified by marks. A crash is a strike against each
+request that ran on the endpoint and each part of its prompt, including those
+that did not cause it. A further strike counts only when the mark was sent again
+after the previous one was known. A request or part in progress at several
 endpoints that are lost together therefore gets one strike. The strikes of a
-request are cleared when it completes.
+request are cleared when it completes, those of a part when any request that has
+it begins to be answered.
 
-The strikes of several nodes can be merged in any order: the later era of a
-request takes precedence, then the higher count.
+The strikes of several nodes can be merged in any order: the later era of a mark
+takes precedence, then the higher count.
 """
 
 from collections import OrderedDict
@@ -16,18 +18,21 @@
 
 #: Number of strikes from which a request is not sent any more.
 STRIKE_LIMIT = 3
+#: The same for a part of a prompt. It is higher, since requests that have
+#: nothing else in common are refused for it.
+PART_STRIKE_LIMIT = 4
 #: Time after which strikes expire unless there is a further one, in seconds.
 STRIKE_SECONDS = 300.0
-#: Largest number of requests with strikes; the oldest ones are dropped first.
+#: Largest number of marks with strikes; the oldest ones are dropped first.
 MAX_TRACKED_MARKS = 4096
 
 
 @dataclass(frozen=True, slots=True)
 class Strike:
-    """Strikes against the request with this mark, the digest of the request.
+    """Strikes against a mark, the digest of a request or of a part of a prompt.
 
-    `era` increases with each completion; `count` is the number of strikes since
-    the last one.
+    `era` increases each time the strikes are cleared; `count` is the number of
+    strikes since.
     """
 
     mark: bytes
@@ -45,7 +50,7 @@
     )
 
     def known(self, mark: bytes) -> Strike:
-        """Return the strikes against a request that have not expired."""
+        """Return the strikes against a mark that have not expired."""
         strike, expires_at = self.strikes.get(
             mark, (Strike(mark), float('inf'))
         )
@@ -54,12 +59,8 @@
             return Strike(mark)
         return strike
 
-    def refuses(self, mark: bytes) -> bool:
-        """Return whether the request must not be sent again."""
-        return self.known(mark).count >= STRIKE_LIMIT
-
     def seconds_left(self, mark: bytes) -> float:
-        """Return the seconds until the request's strikes expire."""
+        """Return the seconds until the strikes against a mark expire."""
         _, expires_at = self.strikes.get(mark, (None, 0))
         return max(0, expires_at - self.clock())
 
@@ -68,17 +69,17 @@
 
         Returns the update for other nodes, None when it was counted before.
 
-        `sent` contains the strikes that were known when the request was sent.
+        `sent` contains the strikes that were known when the mark was sent.
         """
         updated = Strike(sent.mark, sent.era, sent.count + 1)
         return updated if self.merge(updated) else None
 
-    def clear_strikes(self, sent: Strike) -> Strike | None:
-        """Clear the strikes of a completed request.
+    def clear_strikes(self, mark: bytes) -> Strike | None:
+        """Clear the strikes against a mark.
 
-        Returns the update for other nodes, None when it had no strikes.
+        Returns the update for other nodes, None when there were no strikes.
         """
-        known = self.known(sent.mark)
+        known = self.known(mark)
         if not known.count:
             return None
         cleared = Strike(known.mark, known.era + 1)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
@@ -53,6 +53,9 @@
                 return last_answer or self.refuse(
                     endpoint.detail, endpoint.retry_after_seconds
                 )
+            refused = self.sender.refuse_crashing(job)
+            if refused is not None:
+                return last_answer or refused
             outcome = await self.call_endpoint(job, endpoint, runs + 1)
             job.excluded_endpoints.add(endpoint.identity)
             if isinstance(outcome, NotRun):
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
@@ -1,11 +1,13 @@
 """Detects requests that crash endpoints, and stops sending them."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import curio
 import xxhash
 
 from turmericyard_decisions.strikes import (
+    PART_STRIKE_LIMIT,
     STRIKE_LIMIT,
     Strike,
     StrikeRegistry,
@@ -26,15 +28,15 @@
 
 @dataclass(frozen=True, slots=True)
 class BrokenAnswer:
-    """An answer that broke off, and the strikes at send of its request."""
+    """An answer that broke off, and the strikes when its request was sent."""
 
     attempt: str
-    strike: Strike
+    strikes: tuple[Strike, ...]
 
 
 @dataclass(slots=True)
 class CrashDetector:
-    """Counts strikes against requests whose endpoints crash.
+    """Counts strikes against requests and parts of prompts.
 
     `broken` has the broken answers by endpoint. An endpoint whose connections
     break before it began its answers has crashed when it refuses the next
@@ -47,7 +49,7 @@
 
     @property
     def strike_registry(self) -> StrikeRegistry:
-        """Return the strikes that are known against requests."""
+        """Return the strikes that are known."""
         return self.findings.strikes
 
     def refuses(self, job: Job) -> bool:
@@ -56,28 +58,56 @@
         An answer that has just broken off counts as a strike, since its
         endpoint may have crashed.
         """
-        if self.strike_registry.refuses(job.mark):
+        counts = [
+            self.strike_registry.known(mark).count for mark in job.marks
+        ]
+        if reaches_limit(counts):
             return True
-        return (
-            bool(job.broken_answers)
-            and job.strikes_at_send.count + 1 >= STRIKE_LIMIT
+        return bool(job.broken_answers) and reaches_limit(
+            [strike.count + 1 for strike in job.strikes_at_send]
         )
 
+    def may_continue(self, job: Job, *, begun: bool) -> bool:
+        """Return whether a run whose stream broke may go on elsewhere.
+
+        A run that has not `begun` to answer may be what crashed its endpoint.
+        It goes on only if no strike was known when it was sent.
+        """
+        if begun:
+            return self.strike_registry.known(job.mark).count < STRIKE_LIMIT
+        struck = any(strike.count for strike in job.strikes_at_send)
+        return not struck and not self.refuses(job)
+
+    def seconds_left(self, job: Job) -> float:
+        """Return the seconds until the last strike against a request expires."""
+        return max(map(self.strike_registry.seconds_left, job.marks))
+
     def record_strikes_at_send(self, job: Job) -> None:
         """Record the strikes against a request at the time when it is sent.
 
         When a request is sent again at once after its answer broke off, it is
         not known yet whether the endpoint crashed: that counts as a strike.
         """
-        known = self.strike_registry.known(job.mark)
-        count = max(known.count, job.broken_answers)
-        job.strikes_at_send = Strike(job.mark, known.era, count)
+        known = map(self.strike_registry.known, job.marks)
+        job.strikes_at_send = tuple(
+            Strike(each.mark, each.era, max(each.count, job.broken_answers))
+            for each in known
+        )
+
+    async def record_beginning(self, job: Job) -> None:
+        """Clear the strikes against the parts of a prompt that is answered."""
+        await self.clear(job.part_marks)
 
     async def record_completion(self, job: Job) -> None:
         """Clear the strikes of a request that ran to its end."""
-        cleared = self.strike_registry.clear_strikes(job.strikes_at_send)
-        if cleared is not None:
-            await self.findings.report_strikes((cleared,))
+        await self.clear(job.marks)
+
+    async def clear(self, marks: Iterable[bytes]) -> None:
+        """Clear the strikes against marks, and inform the hubs of changes."""
+        cleared = map(self.strike_registry.clear_strikes, marks)
+        found = tuple(filter(None, cleared))
+        if found:
+            await self.findings.report_strikes(found)
 
     async def record_broken_answer(self, job: Job, endpoint: Endpoint) -> None:
         """Start to check whether the endpoint of a broken answer has crashed.
@@ -102,20 +132,33 @@
         broken_off = self.broken.pop(endpoint.identity)
         if not refused:
             return
+        struck = {
+            strike: None for each in broken_off for strike in each.strikes
+        }
         log_event(
             Event.ENDPOINT_DIED,
             endpoint=endpoint.identity,
             requests=len(broken_off),
-            strikes=max(each.strike.count for each in broken_off) + 1,
+            strikes=max(strike.count for strike in struck) + 1,
             attempts=[each.attempt for each in broken_off],
-            marks=[each.strike.mark.hex() for each in broken_off],
+            marks=[strike.mark.hex() for strike in struck],
         )
         await self.findings.report_strikes(
-            self.strike_registry.record_strike(each.strike)
-            for each in broken_off
+            map(self.strike_registry.record_strike, struck)
         )
 
 
+def reaches_limit(counts: list[int]) -> bool:
+    """Return whether a request or a part of its prompt has too many strikes.
+
+    `counts` has the strikes of the request, then those of each part.
+    """
+    request, *parts = counts
+    return request >= STRIKE_LIMIT or any(
+        part >= PART_STRIKE_LIMIT for part in parts
+    )
+
+
 async def refuses_connection(address: str) -> bool:
     """Return whether nothing listens at an address."""
     try:
@@ -136,3 +179,11 @@
         digest.update(len(part).to_bytes(8))
         digest.update(part)
     return digest.digest()
+
+
+def part_marks_of(shared_parts: Iterable[str]) -> tuple[bytes, ...]:
+    """Return the digests that identify parts of prompts."""
+    return tuple(
+        xxhash.xxh3_128_digest(b'part:' + part.encode())
+        for part in shared_parts
+    )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
@@ -1,7 +1,6 @@
 """A client request that the node forwards."""
 
 from dataclasses import dataclass, field
-from functools import partial
 
 from turmericyard_decisions.strikes import Strike
 from turmericyard_ports.configuration import Route, Service
@@ -30,16 +29,23 @@
     #: Priorities of the workspace, 0 without one, and of the route.
     priority: tuple[int, int]
     deadline_at: float
-    #: Fingerprint that the request shares with its retries by the same caller.
+    #: Digest that the request shares with its retries by the same caller.
     mark: bytes = b''
+    #: Digests of the parts of its prompt that other requests may share.
+    part_marks: tuple[bytes, ...] = ()
     #: Identities of endpoints to which this request is not sent again.
     excluded_endpoints: set[str] = field(default_factory=set)
     #: How often it was sent, also to endpoints that did not run it.
     send_count: int = 0
     #: How many of its answers broke off.
     broken_answers: int = 0
-    #: Its strikes when it was sent last.
-    strikes_at_send: Strike = field(default_factory=partial(Strike, b''))
+    #: The strikes against its marks when it was sent last.
+    strikes_at_send: tuple[Strike, ...] = ()
+
+    @property
+    def marks(self) -> tuple[bytes, ...]:
+        """Return the marks of the request and of the parts of its prompt."""
+        return (self.mark, *self.part_marks)
 
     @property
     def attempt(self) -> str:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/request_handler.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/request_handler.py
@@ -11,7 +11,10 @@
 from turmericyard_node.contact import ContactTimes
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.calls import CallForwarder
-from turmericyard_node.forwarding.crash_detector import mark_of
+from turmericyard_node.forwarding.crash_detector import (
+    mark_of,
+    part_marks_of,
+)
 from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.platform_state import PlatformState
@@ -89,31 +92,15 @@
         """Forward an admitted request according to the kind of its route."""
         budget = self.calls.sender.budget(job.service.name)
         budget.observe_request(self.clock())
-        if self.calls.sender.crashes.refuses(job):
-            return self.refuse_quarantined(job)
+        refused = self.calls.sender.refuse_crashing(job)
+        if refused is not None:
+            return refused
         if job.route.kind is not RepeatPolicy.STREAM:
             return await self.calls.forward(job)
         if self.draining:
             return self.refuse(UNAVAILABLE, 'this node is shutting down')
         return await self.streams.forward(job)
 
-    def refuse_quarantined(self, job: Job) -> Answer:
-        """Refuse a request that repeatedly crashed endpoints."""
-        seconds = self.calls.sender.crashes.strike_registry.seconds_left(
-            job.mark
-        )
-        log_event(
-            Event.REQUEST_QUARANTINED,
-            attempt=job.attempt,
-            mark=job.mark.hex(),
-            strikes=self.calls.sender.crashes.strike_registry.known(
-                job.mark
-            ).count,
-            return_seconds=round(seconds, 1),
-        )
-        detail = 'endpoints crash each time they run this request: change it'
-        return self.platform_adapter.refusal(UNAVAILABLE, detail, seconds)
-
     def admit(self, incoming: IncomingRequest) -> Job | Answer:
         """Return the job of a request, or the answer that refuses it."""
         table = self.platform_state.route_table
@@ -160,6 +147,7 @@
                 incoming.target,
                 incoming.body,
             ),
+            part_marks_of(incoming.shared_parts),
         )
 
     def refuse(self, status: int, detail: str) -> Answer:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -5,6 +5,7 @@
 from returns.result import Result, Success
 
 from turmericyard_decisions.service_retry_budget import ServiceRetryBudget
+from turmericyard_http.answer_writer import Answer
 from turmericyard_http.clock import Clock
 from turmericyard_http.errors import AnswerLost, HttpError, NotSent
 from turmericyard_node.events import Event, log_event
@@ -22,6 +23,11 @@
 from turmericyard_ports.request import Continuation, ForwardingContext, Verdict
 from turmericyard_ports.settings import Bounds
 
+UNAVAILABLE = 503
+CRASHING_DETAIL = (
+    'endpoints crash each time they run this request or a part of its prompt:'
+    ' change it'
+)
 #: Answers with this status or a higher one count as failures of the endpoint.
 SERVER_ERROR = 500
 
@@ -62,6 +68,24 @@
             self.budgets[service] = found
         return found
 
+    def refuse_crashing(self, job: Job) -> Answer | None:
+        """Return the refusal of a request that crashes endpoints, if it does."""
+        if not self.crashes.refuses(job):
+            return None
+        seconds = self.crashes.seconds_left(job)
+        log_event(
+            Event.REQUEST_QUARANTINED,
+            attempt=job.attempt,
+            strikes={
+                mark.hex(): self.crashes.strike_registry.known(mark).count
+                for mark in job.marks
+            },
+            return_seconds=round(seconds, 1),
+        )
+        return self.platform_adapter.refusal(
+            UNAVAILABLE, CRASHING_DETAIL, seconds
+        )
+
     def may_retry(self, job: Job) -> bool:
         """Return whether the retry budget of the fleet allows one more send."""
         allowance = self.bounds.retry_extra / self.fleet.size()
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
@@ -35,7 +35,8 @@
         await run.response.close()
         if run.job.seconds_left(self.clock()) <= 0:
             return False
-        if self.sender.crashes.refuses(run.job):
+        begun = run.event_joiner.delivered > 0
+        if not self.sender.crashes.may_continue(run.job, begun=begun):
             return False
         for endpoint, copied in self.continuations(run):
             if not self.placement.endpoint_selector.platform_state.may_continue_run(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -70,6 +70,9 @@
                 return self.refuse(
                     endpoint.detail, endpoint.retry_after_seconds
                 )
+            refused = self.sender.refuse_crashing(job)
+            if refused is not None:
+                return refused
             outcome = await self.begin(job, endpoint)
             if not isinstance(outcome, NotRun):
                 return outcome
@@ -219,7 +222,10 @@
         if data:
             events = run.event_joiner.feed(data)
             if events:
+                begins = not run.has_events_here
                 run.record_events(self.clock())
+                if begins:
+                    await self.sender.crashes.record_beginning(run.job)
             return events
         raise StreamEnded
 
--- a/packages/turmericyard-ports/src/turmericyard_ports/request.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/request.py
@@ -29,7 +29,8 @@
 
     `attempt` is the id that the client gave it. `headers` are those to forward
     to the endpoint. `arrived_at` and `deadline_at` are on the node's clock, in
-    seconds. `body` is complete.
+    seconds. `body` is complete. `shared_parts` are the ids of those parts of
+    the prompt that other requests may have as well, in order.
     """
 
     attempt: str
@@ -43,6 +44,7 @@
     deadline_at: float
     key: str | None = None
     prompt: Prompt | None = None
+    shared_parts: tuple[str, ...] = ()
 
 
 class ForwardingContext(Struct, frozen=True):
