Keep parts in use that only came with a crashing part

Callers would have seen: sound requests refused for 300 s because they share the first part of their prompts with requests whose other part crashes engines.

Cause: the parts of a prompt are struck alike, and a part that few sound requests have is cleared by none of them before it reaches the limit.

Change: a strike keeps the other parts of its prompt. A request is refused for a part unless a part that it does not have explains the crashes; the first request so sent that is answered clears its parts.

--- a/features/forwarding/crashes.feature
+++ b/features/forwarding/crashes.feature
@@ -25,6 +25,14 @@
     And the last 6 requests with the part are refused with a time to retry
     And sound prompts with all other parts are served by every node
 
+  # Guards against parts that are refused since they came with a crashing one.
+  Scenario: Parts that came only with a crashing part stay in use
+    Given a world with 6 engines and 2 nodes
+    When 10 different prompts with a part that crashes engines reach all nodes in turn
+    Then the last 4 requests with the part are refused with a time to retry
+    And sound prompts with all other parts are served by every node
+    And requests with the part are still refused by every node
+
   Scenario: Answers that break off do not count as crashes
     Given a world with 2 plain endpoints and 1 node
     And all endpoints that break off their answers
--- a/features/steps/forwarding_crashes_steps.py
+++ b/features/steps/forwarding_crashes_steps.py
@@ -110,35 +110,61 @@
     )
 
 
+async def send_crashing_parts(
+    context: Context, world: World, number: int, *, beside_sound: bool
+) -> None:
+    for runner in world.runners.values():
+        runner.crashing_parts.add(CRASHING_PART)
+        runner.head_seconds = 0.1
+    context.answers = []
+    nodes = cycle(world.nodes)
+    deadly = (FIRST_PART, SOUND_PART, CRASHING_PART)
+    for _ in range(number):
+        if beside_sound:
+            sound = await curio.spawn(
+                ask_prompt, world, next(nodes), FIRST_PART, SOUND_PART
+            )
+        context.answers.append(await ask_prompt(world, next(nodes), *deadly))
+        if beside_sound:
+            await sound.join()
+        await curio.sleep(PAUSE_SECONDS)
+    context.crashed = crashed(world)
+    context.others = [
+        await ask_prompt(world, node, FIRST_PART, SOUND_PART)
+        for node in world.nodes
+    ]
+    context.repeats = [
+        await ask_prompt(world, node, *deadly) for node in world.nodes
+    ]
+
+
 @when(
     '{number:d} different prompts with a part that crashes engines reach all'
     ' nodes in turn, each beside a sound prompt'
 )
 def step_crashing_part(context: Context, number: int) -> None:
     async def scenario(world: World) -> None:
-        for runner in world.runners.values():
-            runner.crashing_parts.add(CRASHING_PART)
-            runner.head_seconds = 0.1
-        context.answers = []
-        nodes = cycle(world.nodes)
-        for _ in range(number):
-            sound = await curio.spawn(
-                ask_prompt, world, next(nodes), FIRST_PART, SOUND_PART
-            )
-            context.answers.append(
-                await ask_prompt(world, next(nodes), FIRST_PART, CRASHING_PART)
-            )
-            await sound.join()
-            await curio.sleep(PAUSE_SECONDS)
-        context.crashed = crashed(world)
-        context.others = [
-            await ask_prompt(world, node, FIRST_PART, SOUND_PART)
-            for node in world.nodes
-        ]
+        await send_crashing_parts(context, world, number, beside_sound=True)
 
     run(context, scenario)
 
 
+@when(
+    '{number:d} different prompts with a part that crashes engines reach all'
+    ' nodes in turn'
+)
+def step_crashing_part_alone(context: Context, number: int) -> None:
+    async def scenario(world: World) -> None:
+        await send_crashing_parts(context, world, number, beside_sound=False)
+
+    run(context, scenario)
+
+
+@then('requests with the part are still refused by every node')
+def step_repeats_refused(context: Context) -> None:
+    assert {each.status for each in context.repeats} == {503}, context.repeats
+
+
 @then('at most {number:d} endpoints crashed')
 def step_crashed_most(context: Context, number: int) -> None:
     assert context.crashed <= number, (context.crashed, context.answers)
@@ -220,6 +246,7 @@
 
 
 MARKS = drawn.sampled_from((b'm-1', b'm-2'))
+PARTS = (b'm-1', b'm-2', b'm-3', b'm-4')
 HISTORY = drawn.lists(
     drawn.tuples(
         drawn.sampled_from(('crash', 'completion')),
@@ -242,11 +269,12 @@
         registries = [StrikeRegistry(partial(float, 0)) for _ in range(3)]
         changes = []
         for kind, mark, node, together in history:
+            parts = PARTS[:together]
             sent = registries[node].known(mark)
             if kind == 'crash':
                 # `together` runs were in progress, each at another endpoint.
                 changes.extend(
-                    registries[node].record_strike(sent)
+                    registries[node].record_strike(sent, parts)
                     for _ in range(together)
                 )
                 assert registries[node].known(mark).count == sent.count + 1
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/strikes.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/strikes.py
@@ -8,12 +8,16 @@
 request are cleared when it completes, those of a part when any request that has
 it begins to be answered.
 
+The strikes against the part that is the cause and against the parts that always
+come with it are alike. A request that has only some of them is therefore sent
+while another one explains the crashes: if it is answered, its parts are cleared.
+
 The strikes of several nodes can be merged in any order: the later era of a mark
 takes precedence, then the higher count.
 """
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 #: Number of strikes from which a request is not sent any more.
@@ -21,6 +25,11 @@
 #: The same for a part of a prompt. It is higher, since requests that have
 #: nothing else in common are refused for it.
 PART_STRIKE_LIMIT = 4
+#: Largest number of strikes of a part beyond those of another part that
+#: explains them.
+EXPLAINED_MARGIN = 2
+#: Largest number of companions that are kept of a part.
+MAX_COMPANIONS = 16
 #: Time after which strikes expire unless there is a further one, in seconds.
 STRIKE_SECONDS = 300.0
 #: Largest number of marks with strikes; the oldest ones are dropped first.
@@ -32,12 +41,25 @@
     """Strikes against a mark, the digest of a request or of a part of a prompt.
 
     `era` increases each time the strikes are cleared; `count` is the number of
-    strikes since.
+    strikes since. `companions` are the marks of other parts of the struck
+    prompts, the smallest ones if there are more than `MAX_COMPANIONS`.
     """
 
     mark: bytes
     era: int = 0
     count: int = 0
+    companions: frozenset[bytes] = frozenset()
+
+    def merge(self, other: 'Strike') -> 'Strike':
+        """Return the union of two strikes against the same mark."""
+        if self.era != other.era:
+            return max(self, other, key=lambda strike: strike.era)
+        return Strike(
+            self.mark,
+            self.era,
+            max(self.count, other.count),
+            smallest(self.companions | other.companions),
+        )
 
 
 @dataclass(slots=True)
@@ -59,19 +81,43 @@
             return Strike(mark)
         return strike
 
+    def refuses_request(self, mark: bytes) -> bool:
+        """Return whether the request with this mark must not be sent again."""
+        return self.known(mark).count >= STRIKE_LIMIT
+
+    def refuses_part(self, mark: bytes, parts: Collection[bytes]) -> bool:
+        """Return whether a request with these parts is refused for one of them.
+
+        It is not while a companion that the request does not have may be the
+        cause of the crashes.
+        """
+        strike = self.known(mark)
+        if strike.count < PART_STRIKE_LIMIT:
+            return False
+        return not any(
+            self.known(companion).count
+            >= max(PART_STRIKE_LIMIT, strike.count - EXPLAINED_MARGIN)
+            for companion in strike.companions
+            if companion not in parts
+        )
+
     def seconds_left(self, mark: bytes) -> float:
         """Return the seconds until the strikes against a mark expire."""
         _, expires_at = self.strikes.get(mark, (None, 0))
         return max(0, expires_at - self.clock())
 
-    def record_strike(self, sent: Strike) -> Strike | None:
+    def record_strike(
+        self, sent: Strike, parts: Iterable[bytes] = ()
+    ) -> Strike | None:
         """Count a strike.
 
         Returns the update for other nodes, None when it was counted before.
 
-        `sent` contains the strikes that were known when the mark was sent.
+        `sent` contains the strikes that were known when the mark was sent, and
+        `parts` the marks of the parts of the prompt if the mark is one of them.
         """
-        updated = Strike(sent.mark, sent.era, sent.count + 1)
+        companions = smallest(frozenset(parts) - {sent.mark})
+        updated = Strike(sent.mark, sent.era, sent.count + 1, companions)
         return updated if self.merge(updated) else None
 
     def clear_strikes(self, mark: bytes) -> Strike | None:
@@ -89,9 +135,10 @@
     def merge(self, received: Strike) -> bool:
         """Merge the strikes known to another node; returns whether they are new."""
         known = self.known(received.mark)
-        if (received.era, received.count) <= (known.era, known.count):
+        merged = known.merge(received)
+        if merged == known:
             return False
-        self.strikes[received.mark] = (received, self.clock() + STRIKE_SECONDS)
+        self.strikes[received.mark] = (merged, self.clock() + STRIKE_SECONDS)
         self.strikes.move_to_end(received.mark)
         if len(self.strikes) > MAX_TRACKED_MARKS:
             self.strikes.popitem(last=False)
@@ -100,3 +147,8 @@
     def all_strikes(self) -> list[Strike]:
         """Return all strikes, for a node that may have missed updates."""
         return [strike for strike, _ in self.strikes.values()]
+
+
+def smallest(marks: Iterable[bytes]) -> frozenset[bytes]:
+    """Return the smallest `MAX_COMPANIONS` marks."""
+    return frozenset(sorted(marks)[:MAX_COMPANIONS])
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
@@ -48,14 +48,9 @@
         rejections = 0
         last_answer: Answer | None = None
         while self.may_send(job, runs, rejections):
-            endpoint = await self.room.acquire(job)
-            if isinstance(endpoint, NotPlaced):
-                return last_answer or self.refuse(
-                    endpoint.detail, endpoint.retry_after_seconds
-                )
-            refused = self.sender.refuse_crashing(job)
-            if refused is not None:
-                return last_answer or refused
+            endpoint = await self.place(job)
+            if not isinstance(endpoint, Endpoint):
+                return last_answer or endpoint
             outcome = await self.call_endpoint(job, endpoint, runs + 1)
             job.excluded_endpoints.add(endpoint.identity)
             if isinstance(outcome, NotRun):
@@ -70,6 +65,13 @@
             RETRY_AFTER_SECONDS,
         )
 
+    async def place(self, job: Job) -> Endpoint | Answer:
+        """Return the endpoint for a call, or the refusal of the call."""
+        endpoint = await self.room.acquire(job)
+        if isinstance(endpoint, NotPlaced):
+            return self.refuse(endpoint.detail, endpoint.retry_after_seconds)
+        return self.sender.refuse_crashing(job) or endpoint
+
     def to_answer(self, job: Job, outcome: Answer | MayHaveRun) -> Answer:
         """Return the client's answer for the outcome of a run."""
         if isinstance(outcome, MayHaveRun):
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
@@ -1,7 +1,7 @@
 """Detects requests that crash endpoints, and stops sending them."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field, replace
 
 import curio
 import xxhash
@@ -33,6 +33,14 @@
     attempt: str
     strikes: tuple[Strike, ...]
 
+    def strike(self, registry: StrikeRegistry) -> Iterator[Strike | None]:
+        """Count a strike against the request and each part of its prompt."""
+        request, *parts = self.strikes
+        yield registry.record_strike(request)
+        marks = [part.mark for part in parts]
+        for part in parts:
+            yield registry.record_strike(part, marks)
+
 
 @dataclass(slots=True)
 class CrashDetector:
@@ -58,10 +66,13 @@
         An answer that has just broken off counts as a strike, since its
         endpoint may have crashed.
         """
-        counts = [
-            self.strike_registry.known(mark).count for mark in job.marks
-        ]
-        if reaches_limit(counts):
+        registry = self.strike_registry
+        if registry.refuses_request(job.mark):
+            return True
+        if any(
+            registry.refuses_part(mark, job.part_marks)
+            for mark in job.part_marks
+        ):
             return True
         return bool(job.broken_answers) and reaches_limit(
             [strike.count + 1 for strike in job.strikes_at_send]
@@ -74,7 +85,7 @@
         It goes on only if no strike was known when it was sent.
         """
         if begun:
-            return self.strike_registry.known(job.mark).count < STRIKE_LIMIT
+            return not self.strike_registry.refuses_request(job.mark)
         struck = any(strike.count for strike in job.strikes_at_send)
         return not struck and not self.refuses(job)
 
@@ -90,7 +101,7 @@
         """
         known = map(self.strike_registry.known, job.marks)
         job.strikes_at_send = tuple(
-            Strike(each.mark, each.era, max(each.count, job.broken_answers))
+            replace(each, count=max(each.count, job.broken_answers))
             for each in known
         )
 
@@ -132,9 +143,9 @@
         broken_off = self.broken.pop(endpoint.identity)
         if not refused:
             return
-        struck = {
-            strike: None for each in broken_off for strike in each.strikes
-        }
+        struck = dict.fromkeys(
+            strike for each in broken_off for strike in each.strikes
+        )
         log_event(
             Event.ENDPOINT_DIED,
             endpoint=endpoint.identity,
@@ -144,7 +155,9 @@
             marks=[strike.mark.hex() for strike in struck],
         )
         await self.findings.report_strikes(
-            map(self.strike_registry.record_strike, struck)
+            strike
+            for each in broken_off
+            for strike in each.strike(self.strike_registry)
         )
 
 
@@ -184,6 +197,5 @@
 def part_marks_of(shared_parts: Iterable[str]) -> tuple[bytes, ...]:
     """Return the digests that identify parts of prompts."""
     return tuple(
-        xxhash.xxh3_128_digest(b'part:' + part.encode())
-        for part in shared_parts
+        xxhash.xxh3_128_digest(f'part:{part}'.encode()) for part in shared_parts
     )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/findings.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/findings.py
@@ -10,7 +10,11 @@
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.finding_log import FindingLog
 from turmericyard_node.forwarding.platform_state import PlatformState
-from turmericyard_protocol.fleet_messages import Findings, LeavingSign
+from turmericyard_protocol.fleet_messages import (
+    Findings,
+    LeavingSign,
+    StrikeReport,
+)
 
 
 @dataclass(slots=True)
@@ -54,8 +58,13 @@
         for sign in received.leaving:
             if self.platform_state.observe_sign(sign):
                 self.leaving_log.add_received(sign)
-        for row in received.strikes:
-            strike = Strike(*row)
+        for report in received.strikes:
+            strike = Strike(
+                report.mark,
+                report.era,
+                report.count,
+                frozenset(report.companions),
+            )
             if self.strikes.merge(strike):
                 self.strike_log.add_received(strike)
         if self.has_pending():
@@ -100,5 +109,13 @@
     """Return findings as a message."""
     return Findings(
         tuple(leaving),
-        tuple((strike.mark, strike.era, strike.count) for strike in strikes),
+        tuple(
+            StrikeReport(
+                strike.mark,
+                strike.era,
+                strike.count,
+                tuple(sorted(strike.companions)),
+            )
+            for strike in strikes
+        ),
     )
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -47,15 +47,24 @@
     born: int | None
 
 
-class Findings(Message, frozen=True):
-    """Findings from answers about endpoints and requests.
+class StrikeReport(Message, frozen=True):
+    """Strikes against a request or a part of a prompt that crashed endpoints.
 
-    `strikes` are tuples of fingerprint, era and count, one for each request
-    that crashed endpoints; the era counts its completions.
+    `era` counts how often the strikes against the mark were cleared, `count`
+    the strikes since. `companions` are marks of parts of the same prompts.
     """
 
+    mark: bytes
+    era: int
+    count: int
+    companions: tuple[bytes, ...]
+
+
+class Findings(Message, frozen=True):
+    """Findings from answers about endpoints and requests."""
+
     leaving: tuple[LeavingSign, ...] = ()
-    strikes: tuple[tuple[bytes, int, int], ...] = ()
+    strikes: tuple[StrikeReport, ...] = ()
 
 
 class FleetBeat(Message, frozen=True):
