--- a/packages/turmericyard-node/src/turmericyard_node/events.py
+++ b/packages/turmericyard-node/src/turmericyard_node/events.py
@@ -50,6 +50,7 @@
     ENDPOINT_UNREADABLE = (505, 'endpoint:unreadable')
     ENDPOINTS_ASIDE = (506, 'endpoints:aside')
     ENDPOINT_RESTS = (507, 'endpoint:rests')
+    ENDPOINT_LIMITED = (508, 'endpoint:limited')
     ORDER_GIVEN = (600, 'order:given')
     HANDLER_FAILED = (900, 'handler:failed')
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_registry.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_registry.py
@@ -29,6 +29,7 @@
     `gone_at` is when a lapsed record counts as removed, None while the record
     exists; `back_off_until` is when this node may send requests again, and
     `sent_in_back_off` the number of requests that it sent before that time.
+    `named_limit` is the limit in its last answer, in requests a second.
     """
 
     record: EndpointRecord
@@ -37,6 +38,7 @@
     gone_at: float | None = None
     back_off_until: float = 0
     sent_in_back_off: int = 0
+    named_limit: float | None = None
     evidence: FailureEvidence = field(default_factory=FailureEvidence)
     cold_rate: ColdRateLimiter = field(default_factory=ColdRateLimiter)
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -182,6 +182,13 @@
                 endpoint=endpoint.identity,
                 seconds=report.back_off_seconds,
             )
+        if report.requests_per_second != endpoint.named_limit:
+            endpoint.named_limit = report.requests_per_second
+            log_event(
+                Event.ENDPOINT_LIMITED,
+                endpoint=endpoint.identity,
+                limit=endpoint.named_limit,
+            )
         if report.leaving:
             await self.fleet.hub.findings.report_leaving(endpoint)
 
--- a/packages/turmericyard-ports/src/turmericyard_ports/request.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/request.py
@@ -88,8 +88,10 @@
     """What an endpoint's answer tells about the endpoint.
 
     `back_off_seconds` is the time for which it asks this node to send no
-    requests, None where it does not ask.
+    requests, None where it does not ask. `requests_per_second` is the limit
+    that it names for all nodes together, None where it names none.
     """
 
     leaving: bool = False
     back_off_seconds: float | None = None
+    requests_per_second: float | None = None
