Send requests with a struck part of a prompt one at a time

Cause: a strike counts only when its request was sent after the one before was known. Six engines crash under the first requests, come back together after 3 s, and each gets a request with the part before the next strike is known. The class of fault: many act in parallel on what one outcome would tell.

Ruled out: late news (each node has the strike within 0.1 s), a lower limit of strikes (parts that only come with the crashing one would be refused sooner).

Change: from two strikes on, the hub places one request with a part at a time and awaits its outcome. A refused part is tried again after 30 s, then after twice as long each time, instead of being refused for 300 s whatever happens.

--- a/features/steps/forwarding_crashes_steps.py
+++ b/features/steps/forwarding_crashes_steps.py
@@ -160,6 +160,49 @@
     run(context, scenario)
 
 
+@when(
+    '{number:d} prompts with a part that crashes engines reach all nodes each'
+    ' {pause:g} seconds for {seconds:g} seconds'
+)
+def step_crashing_part_flood(
+    context: Context, number: int, pause: float, seconds: float
+) -> None:
+    async def scenario(world: World) -> None:
+        for runner in world.runners.values():
+            runner.crashing_parts.add(CRASHING_PART)
+            runner.head_seconds = 0.7
+        world.crash_seconds = 3
+        nodes = cycle(world.nodes)
+        tasks = []
+        for _ in range(round(seconds / pause)):
+            for _ in range(number):
+                asking = partial(
+                    ask_prompt, world, next(nodes), FIRST_PART, CRASHING_PART
+                )
+                tasks.append(await curio.spawn(asking))
+            await curio.sleep(pause)
+        context.answers = [await task.join() for task in tasks]
+        runners = world.runners.values()
+        context.crashed_at = sorted(
+            at for runner in runners for at in runner.crashed_at
+        )
+        context.arrived_at = sorted(
+            at for runner in runners for at in runner.arrived_at
+        )
+
+    run(context, scenario)
+
+
+@then(
+    'at most {number:d} requests with the part arrive later than {seconds:g}'
+    ' seconds after the fifth crash'
+)
+def step_late_arrivals(context: Context, number: int, seconds: float) -> None:
+    bound = context.crashed_at[4] + seconds
+    late = [at for at in context.arrived_at if at > bound]
+    assert len(late) <= number, (context.crashed_at, late)
+
+
 @then('requests with the part are still refused by every node')
 def step_repeats_refused(context: Context) -> None:
     assert {each.status for each in context.repeats} == {503}, context.repeats
--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -71,6 +71,8 @@
     #: Requests whose prompt has one of these parts crash it.
     crashing_parts: set[str] = field(default_factory=set)
     crashes: list[str] = field(default_factory=list)
+    #: When each of the crashes was, in seconds since the boot.
+    crashed_at: list[float] = field(default_factory=list)
     #: Ends the runner and starts it anew.
     crash: Callable[[str], Awaitable[None]] | None = None
 
@@ -104,6 +106,7 @@
         if self.crash is not None and self.is_crashing(request):
             await curio.sleep(self.head_seconds)
             self.crashes.append(attempt)
+            self.crashed_at.append(boot_seconds())
             await self.crash(self.identity)
             await curio.sleep(1000)
         if fault == 'full':
--- a/features/support/fleet/world.py
+++ b/features/support/fleet/world.py
@@ -27,7 +27,7 @@
 #: Longest body that a runner takes: more than the longest that a node takes.
 BODY_BYTES = 8_388_608
 READY_SECONDS = 6.0
-#: How long a runner is away that crashed.
+#: How long a runner is away that crashed, unless a scenario says otherwise.
 CRASH_SECONDS = 1.0
 LIMIT_SECONDS = 40
 
@@ -108,6 +108,8 @@
     by_address: dict[str, FleetRunner] = field(default_factory=dict)
     #: Starts of runners that crashed.
     births: int = 0
+    #: How long a runner is away that crashed.
+    crash_seconds: float = CRASH_SECONDS
 
     async def serve(self, name: str, handler: Any, port: int = 0) -> str:
         listener = open_listener(LOOPBACK, port or free_port())
@@ -151,14 +153,16 @@
         """End a runner at once; it is back later, as a new start."""
         runner = self.runners[identity]
         self.births += 1
-        server = self.servers.pop(identity)
+        server = self.servers.pop(identity, None)
+        if server is None:
+            return
         await curio.spawn(self.restart_runner, runner, service, daemon=True)
         server.state.shutting_down = True
         await shut_down(server.listener, system_socket.SHUT_RDWR)
         await curio.spawn(server.close, daemon=True)
 
     async def restart_runner(self, runner: FleetRunner, service: str) -> None:
-        await curio.sleep(CRASH_SECONDS)
+        await curio.sleep(self.crash_seconds)
         port = int(runner.address.rpartition(':')[2])
         await self.serve(runner.identity, runner.answer, port)
         self.register(runner.identity, service, born=self.births)
--- a/packages/turmericyard-bench/src/turmericyard_bench/costs/hub_places.py
+++ b/packages/turmericyard-bench/src/turmericyard_bench/costs/hub_places.py
@@ -12,6 +12,8 @@
 import click
 
 from turmericyard_decisions.outlier import LATEST_WEIGHT
+from turmericyard_decisions.strikes import StrikeRegistry
+from turmericyard_decisions.trials import TrialRegistry
 from turmericyard_http.clock import boot_seconds
 from turmericyard_node.forwarding.endpoint_evidence import FleetEvidence
 from turmericyard_node.forwarding.endpoint_selector import EndpointSelector
@@ -109,6 +111,7 @@
         boot_seconds,
         lambda: size.nodes,
         lambda _: frozenset(),
+        TrialRegistry(StrikeRegistry(boot_seconds), boot_seconds),
     )
 
 
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/strikes.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/strikes.py
@@ -16,6 +16,7 @@
 takes precedence, then the higher count.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
@@ -32,6 +33,10 @@
 MAX_COMPANIONS = 16
 #: Time after which strikes expire unless there is a further one, in seconds.
 STRIKE_SECONDS = 300.0
+#: Time for which a part is refused at first, in seconds; it doubles with each
+#: further strike. After it, a request with the part is sent to find out whether
+#: it still crashes endpoints.
+REFUSAL_SECONDS = 30.0
 #: Largest number of marks with strikes; the oldest ones are dropped first.
 MAX_TRACKED_MARKS = 4096
 
@@ -64,7 +69,7 @@
 
 @dataclass(slots=True)
 class StrikeRegistry:
-    """Strikes by mark, each with the time at which they expire."""
+    """Strikes by mark, each with the time of the last strike."""
 
     clock: Callable[[], float]
     strikes: OrderedDict[bytes, tuple[Strike, float]] = field(
@@ -73,10 +78,12 @@
 
     def known(self, mark: bytes) -> Strike:
         """Return the strikes against a mark that have not expired."""
-        strike, expires_at = self.strikes.get(
-            mark, (Strike(mark), float('inf'))
-        )
-        if expires_at <= self.clock():
+        found = self.strikes.get(mark)
+        if found is None:
+            return Strike(mark)
+        strike, struck_at = found
+        lifetime = max(STRIKE_SECONDS, 2 * refusal_seconds(strike))
+        if struck_at + lifetime <= self.clock():
             self.strikes.pop(mark)
             return Strike(mark)
         return strike
@@ -92,7 +99,7 @@
         cause of the crashes.
         """
         strike = self.known(mark)
-        if strike.count < PART_STRIKE_LIMIT:
+        if strike.count < PART_STRIKE_LIMIT or not self.refusal_left(mark):
             return False
         return not any(
             self.known(companion).count
@@ -102,9 +109,16 @@
         )
 
     def seconds_left(self, mark: bytes) -> float:
-        """Return the seconds until the strikes against a mark expire."""
-        _, expires_at = self.strikes.get(mark, (None, 0))
-        return max(0, expires_at - self.clock())
+        """Return the seconds until the strikes against a request expire."""
+        _, struck_at = self.strikes.get(mark, (None, float('-inf')))
+        return max(0, struck_at + STRIKE_SECONDS - self.clock())
+
+    def refusal_left(self, mark: bytes) -> float:
+        """Return the seconds until a refused part is tried again."""
+        strike, struck_at = self.strikes.get(mark, (Strike(mark), 0))
+        if strike.count < PART_STRIKE_LIMIT:
+            return 0
+        return max(0, struck_at + refusal_seconds(strike) - self.clock())
 
     def record_strike(
         self, sent: Strike, parts: Iterable[bytes] = ()
@@ -138,7 +152,10 @@
         merged = known.merge(received)
         if merged == known:
             return False
-        self.strikes[received.mark] = (merged, self.clock() + STRIKE_SECONDS)
+        struck_at = self.clock()
+        if (merged.era, merged.count) == (known.era, known.count):
+            _, struck_at = self.strikes[received.mark]
+        self.strikes[received.mark] = (merged, struck_at)
         self.strikes.move_to_end(received.mark)
         if len(self.strikes) > MAX_TRACKED_MARKS:
             self.strikes.popitem(last=False)
@@ -149,6 +166,11 @@
         return [strike for strike, _ in self.strikes.values()]
 
 
+def refusal_seconds(strike: Strike) -> float:
+    """Return for how long a part with these strikes is refused, in seconds."""
+    return math.ldexp(REFUSAL_SECONDS, strike.count - PART_STRIKE_LIMIT)
+
+
 def smallest(marks: Iterable[bytes]) -> frozenset[bytes]:
     """Return the smallest `MAX_COMPANIONS` marks."""
     return frozenset(sorted(marks)[:MAX_COMPANIONS])
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -62,6 +62,7 @@
         boot_seconds,
         fleet.size,
         partial(ejected_endpoints, fleet),
+        fleet.hub.findings.trials,
     )
     fleet.place_for_peer = endpoint_selector.place_for_peer
     fleet.copy_place_for_peer = endpoint_selector.place_copy
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
@@ -90,8 +90,12 @@
         return not struck and not self.refuses(job)
 
     def seconds_left(self, job: Job) -> float:
-        """Return the seconds until the last strike against a request expires."""
-        return max(map(self.strike_registry.seconds_left, job.marks))
+        """Return the seconds until a refused request may be sent again."""
+        registry = self.strike_registry
+        seconds = [registry.refusal_left(mark) for mark in job.part_marks]
+        if registry.refuses_request(job.mark):
+            seconds.append(registry.seconds_left(job.mark))
+        return max(seconds, default=0)
 
     def record_strikes_at_send(self, job: Job) -> None:
         """Record the strikes against a request at the time when it is sent.
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_selector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_selector.py
@@ -11,6 +11,7 @@
     choose_engine,
     choose_service_endpoint,
 )
+from turmericyard_decisions.trials import TrialRegistry
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
@@ -48,16 +49,20 @@
     fleet_size: Callable[[], int]
     #: Returns the identities of the endpoints that fail callers in a zone.
     ejected_endpoints: Callable[[str], Set[str]]
+    trials: TrialRegistry
     random: Random = field(default_factory=Random)
 
     def place(self, job: Job) -> Endpoint | None:
         """Return the endpoint for a request, None when none has room."""
         request = self.place_request(job)
+        if self.trials.must_wait(request.attempt, request.suspects):
+            return None
         share = LOCAL_SHARE / self.fleet_size()
         for endpoints in self.samples(request.service):
             candidates = self.candidates(endpoints, request, share)
             chosen = self.choose(job.service, request, candidates)
             if chosen is not None:
+                self.trials.begin(request.attempt, request.suspects)
                 self.log(job, chosen, len(candidates))
                 return candidates[chosen.identity]
         return None
@@ -70,6 +75,8 @@
             int(job.prompt_tokens()),
             int(job.memory_tokens()),
             (*job.excluded_endpoints, *self.backing_off(job)),
+            job.attempt,
+            self.trials.suspects(job.part_marks),
         )
 
     def backing_off(self, job: Job) -> list[str]:
@@ -97,12 +104,15 @@
     def place_for_peer(self, request: PlaceRequest) -> Endpoint | None:
         """Return the endpoint for another node's generation, as a hub."""
         service = self.platform_state.service(request.service)
-        if service is None:
+        if service is None or self.trials.must_wait(
+            request.attempt, request.suspects
+        ):
             return None
         for endpoints in self.samples(request.service):
             candidates = self.candidates(endpoints, request, HUB_SHARE)
             chosen = self.choose(service, request, candidates)
             if chosen is not None:
+                self.trials.begin(request.attempt, request.suspects)
                 return candidates[chosen.identity]
         return None
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/findings.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/findings.py
@@ -6,6 +6,7 @@
 import curio
 
 from turmericyard_decisions.strikes import Strike, StrikeRegistry
+from turmericyard_decisions.trials import TrialRegistry
 from turmericyard_http.clock import Clock
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.finding_log import FindingLog
@@ -27,6 +28,7 @@
 
     platform_state: PlatformState
     strikes: StrikeRegistry
+    trials: TrialRegistry
     leaving_log: FindingLog[LeavingSign]
     strike_log: FindingLog[Strike]
     heartbeat_wanted: curio.Event = field(default_factory=curio.Event)
@@ -95,9 +97,11 @@
     platform_state: PlatformState, clock: Clock
 ) -> FindingRegistry:
     """Return the registry of a node without findings."""
+    strikes = StrikeRegistry(clock)
     return FindingRegistry(
         platform_state,
-        StrikeRegistry(clock),
+        strikes,
+        TrialRegistry(strikes, clock),
         FindingLog(clock),
         FindingLog(clock),
     )
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -133,7 +133,9 @@
     """Asks a hub to choose the endpoint of a generation.
 
     `tokens` is the forecast of its memory. `avoided` are endpoints that fail by
-    the requesting node's own evidence.
+    the requesting node's own evidence. `suspects` are the marks of parts of its
+    prompt that may crash endpoints: the outcome of the client's `attempt` is
+    awaited before another request with them is placed.
     """
 
     service: str
@@ -141,6 +143,8 @@
     prompt_tokens: int
     tokens: int
     avoided: tuple[str, ...]
+    attempt: str = ''
+    suspects: tuple[bytes, ...] = ()
 
 
 class CopyPlaceRequest(Message, frozen=True):
