Keep the requests of all nodes within the limit that an endpoint names

Callers saw nothing; endpoints in need got up to twice the requests that they had asked for.

Cause: no node acted on Server-Limit. The class of fault: a bound that an endpoint states for all its callers together is not known to those that send to it, as with Retry-After for one caller only.

Change: a limit is a finding that the first node reports and all nodes have at once, versioned by changes, one a start of the endpoint. While an endpoint of a service names one, the hub places the service's calls too, within a token bucket per endpoint. A node without a hub uses its part of a smaller share, so that the sum stays within the tolerance while nodes change hubs.

Looked for elsewhere: cold starts are divided the same way already; back-offs concern one node by the platform's rule. Continued runs are counted but not held back.

--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -64,6 +64,8 @@
     reports: int = 0
     #: All its answers say that it leaves.
     leaving: bool = False
+    #: The requests a second that it says it takes, in all its answers.
+    limit: float | None = None
     #: What it asks for where it turns requests away, in seconds.
     back_off_seconds: float | None = None
     #: Requests with one of these bodies crash it.
@@ -80,6 +82,9 @@
         answer = await self.answer_kind(request)
         if self.leaving and isinstance(answer, OpaqueResponse):
             answer.lines = (*answer.lines, (b'server-leaving', b'1'))
+        if self.limit is not None and isinstance(answer, OpaqueResponse):
+            named = (b'server-limit', b'%g' % self.limit)
+            answer.lines = (*answer.lines, named)
         return answer
 
     async def answer_kind(self, request: Request) -> Any:
--- /dev/null
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/request_rate.py
@@ -0,0 +1,45 @@
+"""Keeps the requests to an endpoint within a number a second.
+
+A node that places the requests of all nodes uses the whole limit of an endpoint;
+a node that places its own without it uses a part of a smaller share. The sum then
+stays within the tolerance that endpoints allow, also while a node changes from
+one to the other.
+"""
+
+from dataclasses import dataclass
+
+#: Share of a limit that the node uses that places the requests of all nodes.
+PLACING_SHARE = 1.0
+#: Share of a limit that all nodes together use while they place their own.
+OWN_SHARE = 0.4
+#: Time whose requests may be sent at once after a pause, in seconds.
+BURST_SECONDS = 1.0
+
+
+@dataclass(slots=True)
+class RequestRate:
+    """Token bucket of the requests to one endpoint.
+
+    `tokens` is the number of requests that could be sent at `updated_at`. It
+    falls to -1 when requests are sent that another node has placed.
+    """
+
+    tokens: float = 0
+    updated_at: float = 0
+
+    def restart(self, now: float) -> None:
+        """Start with no tokens, as when a limit becomes known."""
+        self.tokens = 0
+        self.updated_at = now
+
+    def allows(self, per_second: float, now: float) -> bool:
+        """Return whether one more request keeps the rate."""
+        passed = max(0, now - self.updated_at)
+        most = max(1, per_second * BURST_SECONDS)
+        self.tokens = min(most, self.tokens + passed * per_second)
+        self.updated_at = now
+        return self.tokens >= 1
+
+    def spend(self) -> None:
+        """Count a request that is sent or placed."""
+        self.tokens = max(-1, self.tokens - 1)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_registry.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_registry.py
@@ -8,16 +8,19 @@
 from dataclasses import dataclass, field
 
 from turmericyard_decisions.outlier import FailureEvidence
+from turmericyard_decisions.request_rate import RequestRate
 from turmericyard_decisions.service_retry_budget import ColdRateLimiter
 from turmericyard_node.events import Event, log_event
 from turmericyard_ports.endpoint import EndpointRecord, EndpointState
-from turmericyard_protocol.fleet_messages import LeavingSign
+from turmericyard_protocol.fleet_messages import EndpointLimit, LeavingSign
 
 #: Time within which live endpoints renew lapsed records after an outage, as
 #: specified by the platform, in seconds.
 RENEWAL_SECONDS = 2.0
 #: Most leaving signs that are kept: those of a large fleet in some minutes.
 MAX_SIGNS = 2048
+#: Most limits that are kept: those of a large fleet.
+MAX_LIMITS = 4096
 #: Time after a failure for which the store counts as failing, in seconds.
 FAILURE_SECONDS = 1.5
 
@@ -29,7 +32,8 @@
     `gone_at` is when a lapsed record counts as removed, None while the record
     exists; `back_off_until` is when this node may send requests again, and
     `sent_in_back_off` the number of requests that it sent before that time.
-    `named_limit` is the limit in its last answer, in requests a second.
+    `limit` is the latest limit that it named to any node, `request_rate` what
+    this node sent or placed within it.
     """
 
     record: EndpointRecord
@@ -38,7 +42,10 @@
     gone_at: float | None = None
     back_off_until: float = 0
     sent_in_back_off: int = 0
-    named_limit: float | None = None
+    limit: EndpointLimit | None = None
+    #: When an answer to this node named it last.
+    limit_named_at: float = float('-inf')
+    request_rate: RequestRate = field(default_factory=RequestRate)
     evidence: FailureEvidence = field(default_factory=FailureEvidence)
     cold_rate: ColdRateLimiter = field(default_factory=ColdRateLimiter)
 
@@ -63,6 +70,19 @@
             self.back_off_until = until
             self.sent_in_back_off = 0
 
+    @property
+    def requests_per_second(self) -> float | None:
+        """Return the limit that the endpoint names now, None without one."""
+        return self.limit.per_second if self.limit else None
+
+    def next_limit(self, per_second: float | None) -> EndpointLimit:
+        """Return the limit that follows the latest one."""
+        version = self.limit.version + 1 if self.limit else 1
+        record = self.record
+        return EndpointLimit(
+            record.identity, record.address, record.born, version, per_second
+        )
+
     def leaving_sign(self) -> LeavingSign:
         """Return the sign that this incarnation of the endpoint leaves."""
         return LeavingSign(self.identity, self.record.address, self.record.born)
@@ -89,6 +109,10 @@
     #: Leaving signs from the answers of endpoints, by identity, the latest
     #: last. A renewed record does not clear them, since it may be out of date.
     signs: dict[str, LeavingSign] = field(default_factory=dict)
+    #: The latest limit that each start of an endpoint named.
+    limits: dict[tuple[str, str, int | None], EndpointLimit] = field(
+        default_factory=dict
+    )
 
     def observe(self, record: EndpointRecord, now: float) -> None:
         """Apply the current record of an endpoint."""
@@ -96,6 +120,9 @@
         if known is None or is_restarted(known.record, record):
             known = Endpoint(record)
             self.endpoints[record.identity] = known
+            known.request_rate.restart(now)
+            start = (record.identity, record.address, record.born)
+            known.limit = self.limits.get(start)
             log_event(
                 Event.ENDPOINT_FOUND,
                 endpoint=record.identity,
@@ -129,6 +156,40 @@
             self.mark_leaving(known, now, 'said so')
         return True
 
+    def observe_limit(self, limit: EndpointLimit, now: float) -> bool:
+        """Record a limit that an endpoint named; return whether it is new.
+
+        The limit may arrive before the endpoint's record.
+        """
+        latest = self.limits.get(limit.start)
+        if latest is not None and not limit.supersedes(latest):
+            return False
+        self.limits.pop(limit.start, None)
+        self.limits[limit.start] = limit
+        if len(self.limits) > MAX_LIMITS:
+            self.limits.pop(next(iter(self.limits)))
+        known = self.endpoints.get(limit.identity)
+        if known is None or known.next_limit(None).start != limit.start:
+            return True
+        if known.requests_per_second is None:
+            known.request_rate.restart(now)
+        known.limit = limit
+        log_event(
+            Event.ENDPOINT_LIMITED,
+            endpoint=limit.identity,
+            limit=limit.per_second,
+            version=limit.version,
+        )
+        return True
+
+    def limits_in_use(self) -> tuple[EndpointLimit, ...]:
+        """Return the limits of endpoints that still have a record."""
+        return tuple(
+            endpoint.limit
+            for endpoint in self.endpoints.values()
+            if endpoint.limit is not None
+        )
+
     def signs_in_use(self) -> tuple[LeavingSign, ...]:
         """Return the signs of endpoints that still have a record."""
         return tuple(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_selector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_selector.py
@@ -11,6 +11,7 @@
     choose_engine,
     choose_service_endpoint,
 )
+from turmericyard_decisions.request_rate import OWN_SHARE, PLACING_SHARE
 from turmericyard_decisions.trials import TrialRegistry
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
@@ -52,14 +53,21 @@
     trials: TrialRegistry
     random: Random = field(default_factory=Random)
 
-    def place(self, job: Job) -> Endpoint | None:
-        """Return the endpoint for a request, None when none has room."""
+    def place(self, job: Job, *, as_hub: bool = False) -> Endpoint | None:
+        """Return the endpoint for a request, None when none has room.
+
+        `as_hub` tells whether this node is the hub that places the requests of
+        all nodes.
+        """
         request = self.place_request(job)
+        limit_share = self.own_limit_share(as_hub=as_hub)
         if self.trials.must_wait(request.attempt, request.suspects):
             return None
-        share = LOCAL_SHARE / self.fleet_size()
+        cold_share = LOCAL_SHARE / self.fleet_size()
         for endpoints in self.samples(request.service):
-            candidates = self.candidates(endpoints, request, share)
+            candidates = self.candidates(
+                endpoints, request, cold_share, limit_share
+            )
             chosen = self.choose(job.service, request, candidates)
             if chosen is not None:
                 self.trials.begin(request.attempt, request.suspects)
@@ -67,6 +75,19 @@
                 return candidates[chosen.identity]
         return None
 
+    def own_limit_share(self, *, as_hub: bool) -> float:
+        """Return the share of endpoints' limits that this node may use."""
+        return PLACING_SHARE if as_hub else OWN_SHARE / self.fleet_size()
+
+    def has_limits(self, service: str) -> bool:
+        """Return whether an endpoint of a service names a limit."""
+        if not self.platform_state.registry.limits:
+            return False
+        return any(
+            endpoint.requests_per_second is not None
+            for endpoint in self.platform_state.usable_endpoints(service)
+        )
+
     def place_request(self, job: Job) -> PlaceRequest:
         """Return the request for a place, as it is sent to a hub."""
         return PlaceRequest(
@@ -109,7 +130,9 @@
         ):
             return None
         for endpoints in self.samples(request.service):
-            candidates = self.candidates(endpoints, request, HUB_SHARE)
+            candidates = self.candidates(
+                endpoints, request, HUB_SHARE, PLACING_SHARE
+            )
             chosen = self.choose(service, request, candidates)
             if chosen is not None:
                 self.trials.begin(request.attempt, request.suspects)
@@ -188,6 +211,7 @@
         endpoints: list[Endpoint],
         request: PlaceRequest,
         cold_share: float,
+        limit_share: float,
     ) -> dict[str, Endpoint]:
         """Return which of the given endpoints may get a request now.
 
@@ -199,6 +223,7 @@
             for endpoint in endpoints
             if endpoint.identity not in request.avoided
             and self.has_cold_capacity(endpoint, cold_share, now)
+            and has_limit_capacity(endpoint, limit_share, now)
         }
         ejected = self.ejected_endpoints(request.zone)
         healthy = {
@@ -242,6 +267,14 @@
         return candidate_loads
 
 
+def has_limit_capacity(endpoint: Endpoint, share: float, now: float) -> bool:
+    """Return whether a share of an endpoint's limit allows one more request."""
+    limit = endpoint.requests_per_second
+    if limit is None:
+        return True
+    return endpoint.request_rate.allows(limit * share, now)
+
+
 def to_candidate_load(
     endpoint: Endpoint, total: LoadTotal, capacity: float
 ) -> CandidateLoad:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/findings.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/findings.py
@@ -12,15 +12,19 @@
 from turmericyard_node.forwarding.finding_log import FindingLog
 from turmericyard_node.forwarding.platform_state import PlatformState
 from turmericyard_protocol.fleet_messages import (
+    EndpointLimit,
     Findings,
     LeavingSign,
     StrikeReport,
 )
 
+#: Time after a limit was named before which it is not raised, in seconds.
+LIMIT_HOLD_SECONDS = 0.5
+
 
 @dataclass(slots=True)
 class FindingRegistry:
-    """Endpoints that announce that they leave, and strikes against requests.
+    """Endpoints that leave or name limits, and strikes against requests.
 
     `heartbeat_wanted` is set when the hubs should get a heartbeat at once, and
     `update_wanted` when this node as a hub should send an update at once.
@@ -31,21 +35,29 @@
     trials: TrialRegistry
     leaving_log: FindingLog[LeavingSign]
     strike_log: FindingLog[Strike]
+    limit_log: FindingLog[EndpointLimit]
     heartbeat_wanted: curio.Event = field(default_factory=curio.Event)
     update_wanted: curio.Event = field(default_factory=curio.Event)
 
     def recent(self) -> Findings:
         """Return this node's recent findings, for its heartbeats."""
-        return as_message(self.leaving_log.recent(), self.strike_log.recent())
+        return as_message(
+            self.leaving_log.recent(),
+            self.strike_log.recent(),
+            self.limit_log.recent(),
+        )
 
     def has_pending(self) -> bool:
         """Return whether there are findings to forward."""
-        return bool(self.leaving_log.pending or self.strike_log.pending)
+        logs = (self.leaving_log, self.strike_log, self.limit_log)
+        return any(log.pending for log in logs)
 
     def take_pending(self) -> Findings:
         """Return the findings to forward and clear them."""
         return as_message(
-            self.leaving_log.take_pending(), self.strike_log.take_pending()
+            self.leaving_log.take_pending(),
+            self.strike_log.take_pending(),
+            self.limit_log.take_pending(),
         )
 
     def all_findings(self) -> Findings:
@@ -53,6 +65,7 @@
         return as_message(
             self.platform_state.registry.signs_in_use(),
             self.strikes.all_strikes(),
+            self.platform_state.registry.limits_in_use(),
         )
 
     async def receive(self, received: Findings) -> None:
@@ -69,6 +82,9 @@
             )
             if self.strikes.merge(strike):
                 self.strike_log.add_received(strike)
+        for limit in received.limits:
+            if self.platform_state.observe_limit(limit):
+                self.limit_log.add_received(limit)
         if self.has_pending():
             await self.platform_state.flush()
             await self.update_wanted.set()
@@ -81,6 +97,28 @@
             await self.platform_state.flush()
             await self.request_delivery()
 
+    async def report_limit(
+        self, endpoint: Endpoint, per_second: float | None
+    ) -> None:
+        """Record the limit in an endpoint's answer, and inform the hubs of news.
+
+        An answer that was given before the limit may arrive after others. A
+        limit is therefore raised or ended only some time after it was named.
+        """
+        known = endpoint.requests_per_second
+        now = self.platform_state.clock()
+        if per_second == known:
+            endpoint.limit_named_at = now
+            return
+        lower = per_second is not None and (known is None or per_second < known)
+        if not lower and now < endpoint.limit_named_at + LIMIT_HOLD_SECONDS:
+            return
+        endpoint.limit_named_at = now
+        limit = endpoint.next_limit(per_second)
+        if self.platform_state.observe_limit(limit):
+            self.limit_log.add_own(limit)
+            await self.request_delivery()
+
     async def report_strikes(self, strikes: Iterable[Strike | None]) -> None:
         """Inform the hubs of strikes that were new to this node; skip None."""
         for strike in filter(None, strikes):
@@ -104,11 +142,14 @@
         TrialRegistry(strikes, clock),
         FindingLog(clock),
         FindingLog(clock),
+        FindingLog(clock),
     )
 
 
 def as_message(
-    leaving: Iterable[LeavingSign], strikes: Iterable[Strike]
+    leaving: Iterable[LeavingSign],
+    strikes: Iterable[Strike],
+    limits: Iterable[EndpointLimit],
 ) -> Findings:
     """Return findings as a message."""
     return Findings(
@@ -122,4 +163,5 @@
             )
             for strike in strikes
         ),
+        tuple(limits),
     )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -261,6 +261,7 @@
             )
         )
         endpoint.cold_rate.spend(self.clock())
+        endpoint.request_rate.spend()
         return PlaceReply(endpoint.identity)
 
     @answer.register
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
@@ -2,7 +2,8 @@
 
 Nodes that choose on their own may all choose the same endpoint, since they do
 not know what the others run. When no hub answers, a node chooses by its own
-load alone.
+load alone. Calls of a plain service are placed so only while one of its
+endpoints names a limit for all nodes together.
 """
 
 from collections.abc import Collection
@@ -37,13 +38,17 @@
 
     async def place(self, job: Job) -> Endpoint | None:
         """Return the endpoint for a request, None when none has room."""
-        if job.service.engine is None:
+        if job.service.engine is None and not self.endpoint_selector.has_limits(
+            job.service.name
+        ):
             return self.endpoint_selector.place(job)
         now = self.clock()
         request = self.endpoint_selector.place_request(job)
         hub, reply = await self.ask_hubs(request)
         if reply is None:
-            return self.endpoint_selector.place(job)
+            return self.endpoint_selector.place(
+                job, as_hub=hub == self.fleet.own.node
+            )
         if not reply.endpoint:
             return None
         endpoint = self.usable_endpoint(reply)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/platform_state.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/platform_state.py
@@ -22,7 +22,7 @@
     index_routes,
 )
 from turmericyard_ports.endpoint import EndpointRecord
-from turmericyard_protocol.fleet_messages import LeavingSign
+from turmericyard_protocol.fleet_messages import EndpointLimit, LeavingSign
 
 #: Time after its notice for which an endpoint may still continue a run, in
 #: seconds: half of the time within which it may still get requests.
@@ -133,6 +133,10 @@
         self.registry.observe(record, now)
         return known != record
 
+    def observe_limit(self, limit: EndpointLimit) -> bool:
+        """Record the limit of an endpoint; return whether it is new."""
+        return self.registry.observe_limit(limit, self.clock())
+
     def observe_sign(self, sign: LeavingSign) -> bool:
         """Apply a sign that an endpoint leaves; return whether it is new."""
         is_new = self.registry.observe_sign(sign, self.clock())
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -106,6 +106,7 @@
             self.budget(job.service.name).spend(now)
         job.send_count += 1
         endpoint.cold_rate.spend(now)
+        endpoint.request_rate.spend()
         endpoint.sent_in_back_off += endpoint.is_backing_off(now)
         self.crashes.record_strikes_at_send(job)
         forwarding_context = ForwardingContext(
@@ -182,13 +183,9 @@
                 endpoint=endpoint.identity,
                 seconds=report.back_off_seconds,
             )
-        if report.requests_per_second != endpoint.named_limit:
-            endpoint.named_limit = report.requests_per_second
-            log_event(
-                Event.ENDPOINT_LIMITED,
-                endpoint=endpoint.identity,
-                limit=endpoint.named_limit,
-            )
+        await self.fleet.hub.findings.report_limit(
+            endpoint, report.requests_per_second
+        )
         if report.leaving:
             await self.fleet.hub.findings.report_leaving(endpoint)
 
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -1,5 +1,7 @@
 """Messages between forwarding nodes and their hubs, one type each."""
 
+import math
+
 from turmericyard_protocol.message import Message
 
 
@@ -47,6 +49,35 @@
     born: int | None
 
 
+class EndpointLimit(Message, frozen=True):
+    """Requests a second that an endpoint takes from all nodes together.
+
+    `address` and `born` distinguish this start of the endpoint from others with
+    the same identity. `per_second` is None when the endpoint names no limit any
+    more. `version` increases with each change that a node observes.
+    """
+
+    identity: str
+    address: str
+    born: int | None
+    version: int
+    per_second: float | None
+
+    @property
+    def start(self) -> tuple[str, str, int | None]:
+        """Return what distinguishes this start of the endpoint from others."""
+        return (self.identity, self.address, self.born)
+
+    def supersedes(self, other: 'EndpointLimit') -> bool:
+        """Return whether this is newer; the lower limit wins in a tie."""
+        return self.rank() > other.rank()
+
+    def rank(self) -> tuple[int, float]:
+        """Return the sort key by which the newer of two limits is higher."""
+        limit = math.inf if self.per_second is None else self.per_second
+        return (self.version, -limit)
+
+
 class StrikeReport(Message, frozen=True):
     """Strikes against a request or a part of a prompt that crashed endpoints.
 
@@ -65,6 +96,7 @@
 
     leaving: tuple[LeavingSign, ...] = ()
     strikes: tuple[StrikeReport, ...] = ()
+    limits: tuple[EndpointLimit, ...] = ()
 
 
 class FleetBeat(Message, frozen=True):
