Do not trust a refusal that names another request

Callers could see: 503 "not run" for a request that an endpoint had run, or a request that may run once run at a second endpoint.

Cause: an answer with X-Turmericyard-Not-Executed or status 421 was taken for the request's own before its attempt id was compared. The node opens a connection for each request, so that an earlier refusal cannot come back on a kept one; an endpoint or a proxy before it that answers the wrong request still could.

Change: an answer that names another attempt is foreign, whatever its status. Such a request may have run: 502, and no second endpoint.

--- /dev/null
+++ b/features/support/fleet/scripted.py
@@ -0,0 +1,54 @@
+"""An endpoint that answers each request with the same bytes and closes."""
+
+import re
+from contextlib import suppress
+from dataclasses import dataclass
+
+import curio
+
+ATTEMPT = re.compile(rb'x-turmericyard-attempt-id: (\S+)', re.IGNORECASE)
+SEAL = b'x-turmericyard-response-seal: s\r\n'
+HEAD = b'HTTP/1.1 200 OK\r\nx-turmericyard-attempt-id: %s\r\n' + SEAL
+STREAM = HEAD + b'content-type: text/event-stream\r\n\r\n'
+EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+EARLIER = (
+    b'x-turmericyard-attempt-id: earlier\r\n'
+    b'x-turmericyard-not-executed: 1\r\n'
+    b'content-length: 0\r\n\r\n'
+)
+#: What is sent; `%s` stands for the attempt.
+ANSWERS = {
+    'a part of a status line': b'HTTP/1.1 20',
+    'a status line': b'HTTP/1.1 200 OK\r\n',
+    'a part of a head': HEAD,
+    'a part of a header line': HEAD + b'content-len',
+    'a head without its last byte': HEAD + b'content-length: 0\r\n\r',
+    'a refusal of an earlier request': b'HTTP/1.1 503 Busy\r\n' + EARLIER,
+    'a misdirection of an earlier request': b'HTTP/1.1 421 No\r\n' + EARLIER,
+    'a body that ends with the connection': HEAD + b'\r\nwhole',
+    'a stream that ends with the connection': STREAM + EVENTS,
+    'a stream that ends inside an event': STREAM + EVENTS + b'id: 3\ndata',
+    'a stream that ends before a blank line': STREAM + EVENTS + b'id: 3\n',
+}
+
+
+@dataclass
+class ScriptedRunner:
+    """Answers each request with the bytes of one kind; counts requests."""
+
+    kind: str
+    asked: int = 0
+
+    async def serve(self, listener: object) -> None:
+        async with listener:
+            while True:
+                sock, _ = await listener.accept()
+                await curio.spawn(self.answer, sock, daemon=True)
+
+    async def answer(self, sock: object) -> None:
+        async with sock:
+            with suppress(OSError):
+                head = await sock.recv(65_536)
+                self.asked += 1
+                attempt = ATTEMPT.search(head)[1]
+                await sock.sendall(ANSWERS[self.kind].replace(b'%s', attempt))
