Take a stream that ends inside an event as broken off

Callers saw: a stream framed as complete whose last event was cut, when an endpoint framed its answer by the end of the connection and stopped midway.

Cause: the bytes after the last complete event were passed on at the end of a stream, whatever they were. Only resets and broken chunks counted as cuts.

Change: a stream that ends inside an event fails like one whose connection broke: it is continued at its backup if there is one, and otherwise aborted. Blank bytes after the last event are still passed on.

--- a/features/forwarding/broken_answers.feature
+++ b/features/forwarding/broken_answers.feature
@@ -39,3 +39,14 @@
     Given a world whose engine answers with a stream that ends with the connection
     When a client makes a once-only request
     Then the client got a stream of 2 events that is complete
+
+  # Guards against streams that look complete and end inside an event.
+  Scenario Outline: A stream that ends inside an event is broken off
+    Given a world whose engine answers with <what>
+    When a client makes a once-only request
+    Then the client got a stream of 2 events that is broken off
+
+    Examples:
+      | what                                   |
+      | a stream that ends inside an event     |
+      | a stream that ends before a blank line |
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/event_stream_joiner.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/event_stream_joiner.py
@@ -87,6 +87,10 @@
             )
         return step == 1
 
+    def is_inside_event(self) -> bool:
+        """Return whether the last event is incomplete."""
+        return bool(self.incomplete_event.strip())
+
     def finish(self) -> bytes:
         """Return the bytes after the last complete event of an ended stream."""
         incomplete = self.incomplete_event
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -215,7 +215,7 @@
         """Return the complete events of the next bytes, if any.
 
         Raises StreamEnded at the end, and one of STREAM_ERRORS when the stream
-        fails.
+        fails or ends inside an event.
         """
         async with curio.timeout_after(self.read_timeout(run)):
             data = await run.response.read()
@@ -227,6 +227,8 @@
                 if begins:
                     await self.sender.crashes.record_beginning(run.job)
             return events
+        if run.event_joiner.is_inside_event():
+            raise EOFError('the stream ended inside an event')
         raise StreamEnded
 
     def read_timeout(self, run: Run) -> float:
