Answer or refuse each request that reaches a node in its planned stop

Callers saw: calls taken late in the grace period, bookings among them, were sent to an endpoint and cut without an answer when the process ended.

Cause: a node that stops took calls until its listener closed, whatever time they might need, and gave its open connections 0.8 s from the moment at which it had once been idle.

Change: a call that arrives after clients have dropped the node's address is taken only if its deadline lies before the end; others get 503 with a time to retry. Calls taken before that end with an answer at that time at the latest. The connections may stay open until then.

Calls that were in progress before the stop and last longer than the grace period are still cut.

--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
@@ -21,7 +21,10 @@
 from turmericyard_node.forwarding.moves import RunCopier
 from turmericyard_node.forwarding.node_status import NodeStatusHandler
 from turmericyard_node.forwarding.platform_state import PlatformState
-from turmericyard_node.forwarding.request_handler import RequestHandler
+from turmericyard_node.forwarding.request_handler import (
+    PlannedStop,
+    RequestHandler,
+)
 from turmericyard_node.forwarding.stalls import StallWatch
 from turmericyard_node.forwarding.waiting import WaitingRoom
 from turmericyard_ports.border import PlatformAdapter
@@ -36,6 +39,8 @@
 #: Part of the grace period that is reserved for finishing the last answers, in
 #: seconds.
 FINISH_SECONDS = 0.8
+#: Time in which an answer is written after its request's deadline, in seconds.
+ANSWER_SECONDS = 0.1
 #: Pause before a failed loop runs again, in seconds.
 RESTART_SECONDS = 0.2
 #: Time beyond the clients' own limit for which a connection may idle, so that
@@ -169,14 +174,18 @@
         started_at = self.clock()
         ends_at = started_at + self.settings.bounds.grace_seconds
         self.draining = True
-        self.request_handler.draining = True
+        self.request_handler.planned_stop = PlannedStop(
+            started_at + LEAVE_SECONDS,
+            ends_at - FINISH_SECONDS - ANSWER_SECONDS,
+        )
         log_event(Event.NODE_DRAINING)
         for server in self.servers:
             server.announce_leaving()
         await self.fleet.loads.changed.set()
         await self.wait_idle(started_at + LEAVE_SECONDS, ends_at)
-        async with curio.ignore_after(FINISH_SECONDS):
-            await self.servers[0].finish(FINISH_SECONDS)
+        seconds = max(FINISH_SECONDS, ends_at - FINISH_SECONDS - self.clock())
+        async with curio.ignore_after(seconds):
+            await self.servers[0].finish(seconds)
         async with curio.ignore_after(FINISH_SECONDS / 2):
             await self.fleet.membership.leave()
         log_event(Event.NODE_STOPPED, node=self.settings.node)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/request_handler.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/request_handler.py
@@ -43,12 +43,36 @@
 STALE_SECONDS = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class PlannedStop:
+    """Times of a process that ends, on the node's clock.
+
+    Clients may have its address until `address_until`. The last answers are
+    given at `answers_until`.
+    """
+
+    address_until: float
+    answers_until: float
+
+    def takes(self, job: Job) -> bool:
+        """Return whether a new request is taken.
+
+        A call that arrives late must end before the process whatever happens.
+        Streams last longer than a stop.
+        """
+        if job.route.kind is RepeatPolicy.STREAM:
+            return False
+        if job.incoming.arrived_at <= self.address_until:
+            return True
+        return job.deadline_at <= self.answers_until
+
+
 @dataclass(slots=True)
 class RequestHandler:
     """Answers clients.
 
-    `request_count` counts all requests; `draining` is set when the process is
-    about to end.
+    `request_count` counts all requests; `planned_stop` is set when the process
+    is about to end.
     """
 
     platform_adapter: PlatformAdapter
@@ -61,7 +85,7 @@
     random: Random = field(default_factory=Random)
     open_requests: int = 0
     request_count: int = 0
-    draining: bool = False
+    planned_stop: PlannedStop | None = None
 
     async def answer(self, request: Request) -> Answer:
         """Return the answer to a client's request."""
@@ -95,11 +119,14 @@
         refused = self.calls.sender.refuse_crashing(job)
         if refused is not None:
             return refused
-        if job.route.kind is not RepeatPolicy.STREAM:
-            return await self.calls.forward(job)
-        if self.draining:
-            return self.refuse(UNAVAILABLE, 'this node is shutting down')
-        return await self.streams.forward(job)
+        if self.planned_stop is not None:
+            if not self.planned_stop.takes(job):
+                return self.refuse(UNAVAILABLE, 'this node is shutting down')
+            answers_until = self.planned_stop.answers_until
+            job.deadline_at = min(job.deadline_at, answers_until)
+        if job.route.kind is RepeatPolicy.STREAM:
+            return await self.streams.forward(job)
+        return await self.calls.forward(job)
 
     def admit(self, incoming: IncomingRequest) -> Job | Answer:
         """Return the job of a request, or the answer that refuses it."""
