Send limits as whole thousandths, and ask an endpoint that names 0

Cause: the limit was the first optional float of a message, and a peer's NaN would have been neither above nor below any other limit. It is an integer of thousandths now, so that no such value exists.

Read on the way: an endpoint that names 0 would get no request again and could not name another limit. At least 0.1 requests a second are assumed, divided among nodes like any limit.

--- a/features/forwarding/limits.feature
+++ b/features/forwarding/limits.feature
@@ -29,6 +29,10 @@
     When all of them stop naming a limit of 1 request a second
     Then each node knows no limit after 2 seconds of requests
 
+  Scenario: An endpoint that names a limit of 0 can name another one
+    When an endpoint that names a limit of 0 could get requests for a minute
+    Then it gets 5 to 6 requests
+
   Scenario: A limit that was named later replaces an earlier one in any order
     When 300 random sets of limits reach three registries in different orders
     Then all registries have the same limits
--- a/features/steps/forwarding_limits_steps.py
+++ b/features/steps/forwarding_limits_steps.py
@@ -14,6 +14,7 @@
 from support.fleet.runner import FleetRunner
 from support.fleet.scenario import run
 from support.fleet.world import World
+from turmericyard_decisions.request_rate import PLACING_SHARE, RequestRate
 from turmericyard_fleet.ingress import read_endpoint_report
 from turmericyard_node.forwarding.endpoint_registry import EndpointRegistry
 from turmericyard_protocol.fleet_messages import EndpointLimit
@@ -176,7 +177,7 @@
         drawn.just('10.0.0.1:1'),
         drawn.sampled_from((None, 1, 2)),
         drawn.integers(1, 4),
-        drawn.sampled_from((None, 0, 1.5, 20)),
+        drawn.sampled_from((None, 0, 1500, 20_000)),
     ),
     max_size=10,
 )
@@ -205,6 +206,24 @@
     seed(SEED)(checked(drawing(play)))()
 
 
+@when(
+    'an endpoint that names a limit of {limit:g} could get requests for a minute'
+)
+def step_minute(context: Context, limit: float) -> None:
+    rate = RequestRate()
+    rate.restart(0)
+    context.sent = 0
+    for tick in range(600):
+        if rate.allows(limit, PLACING_SHARE, tick / 10):
+            rate.spend()
+            context.sent += 1
+
+
+@then('it gets {least:d} to {most:d} requests')
+def step_few(context: Context, least: int, most: int) -> None:
+    assert least <= context.sent <= most, context.sent
+
+
 @then('all registries have the same limits')
 def step_same(context: Context) -> None:
     assert context.compared >= 100, context.compared
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/request_rate.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/request_rate.py
@@ -12,6 +12,9 @@
 PLACING_SHARE = 1.0
 #: Share of a limit that all nodes together use while they place their own.
 OWN_SHARE = 0.4
+#: Least limit that is assumed, in requests a second, whatever an endpoint names: one that gets none
+#: cannot name another limit.
+MIN_PER_SECOND = 0.1
 #: Time whose requests may be sent at once after a pause, in seconds.
 BURST_SECONDS = 1.0
 
@@ -32,11 +35,12 @@
         self.tokens = 0
         self.updated_at = now
 
-    def allows(self, per_second: float, now: float) -> bool:
-        """Return whether one more request keeps the rate."""
+    def allows(self, per_second: float, share: float, now: float) -> bool:
+        """Return whether one more request keeps a share of a limit."""
+        rate = max(per_second, MIN_PER_SECOND) * share
         passed = max(0, now - self.updated_at)
-        most = max(1, per_second * BURST_SECONDS)
-        self.tokens = min(most, self.tokens + passed * per_second)
+        most = max(1, rate * BURST_SECONDS)
+        self.tokens = min(most, self.tokens + passed * rate)
         self.updated_at = now
         return self.tokens >= 1
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_registry.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_registry.py
@@ -12,7 +12,11 @@
 from turmericyard_decisions.service_retry_budget import ColdRateLimiter
 from turmericyard_node.events import Event, log_event
 from turmericyard_ports.endpoint import EndpointRecord, EndpointState
-from turmericyard_protocol.fleet_messages import EndpointLimit, LeavingSign
+from turmericyard_protocol.fleet_messages import (
+    THOUSAND,
+    EndpointLimit,
+    LeavingSign,
+)
 
 #: Time within which live endpoints renew lapsed records after an outage, as
 #: specified by the platform, in seconds.
@@ -80,7 +84,11 @@
         version = self.limit.version + 1 if self.limit else 1
         record = self.record
         return EndpointLimit(
-            record.identity, record.address, record.born, version, per_second
+            record.identity,
+            record.address,
+            record.born,
+            version,
+            None if per_second is None else round(per_second * THOUSAND),
         )
 
     def leaving_sign(self) -> LeavingSign:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_selector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_selector.py
@@ -272,7 +272,7 @@
     limit = endpoint.requests_per_second
     if limit is None:
         return True
-    return endpoint.request_rate.allows(limit * share, now)
+    return endpoint.request_rate.allows(limit, share, now)
 
 
 def to_candidate_load(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/findings.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/findings.py
@@ -106,15 +106,16 @@
         limit is therefore raised or ended only some time after it was named.
         """
         known = endpoint.requests_per_second
+        limit = endpoint.next_limit(per_second)
+        named = limit.per_second
         now = self.platform_state.clock()
-        if per_second == known:
+        if named == known:
             endpoint.limit_named_at = now
             return
-        lower = per_second is not None and (known is None or per_second < known)
+        lower = named is not None and (known is None or named < known)
         if not lower and now < endpoint.limit_named_at + LIMIT_HOLD_SECONDS:
             return
         endpoint.limit_named_at = now
-        limit = endpoint.next_limit(per_second)
         if self.platform_state.observe_limit(limit):
             self.limit_log.add_own(limit)
             await self.request_delivery()
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -4,6 +4,8 @@
 
 from turmericyard_protocol.message import Message
 
+THOUSAND = 1000
+
 
 class EndpointUse(Message, frozen=True):
     """Load that one node puts on an endpoint.
@@ -53,15 +55,23 @@
     """Requests a second that an endpoint takes from all nodes together.
 
     `address` and `born` distinguish this start of the endpoint from others with
-    the same identity. `per_second` is None when the endpoint names no limit any
-    more. `version` increases with each change that a node observes.
+    the same identity. `thousandths` is the limit in thousandths of a request a
+    second, None when the endpoint names no limit any more. `version` increases
+    with each change that a node observes.
     """
 
     identity: str
     address: str
     born: int | None
     version: int
-    per_second: float | None
+    thousandths: int | None
+
+    @property
+    def per_second(self) -> float | None:
+        """Return the requests a second, None without a limit."""
+        if self.thousandths is None:
+            return None
+        return self.thousandths / THOUSAND
 
     @property
     def start(self) -> tuple[str, str, int | None]:
@@ -74,7 +84,7 @@
 
     def rank(self) -> tuple[int, float]:
         """Return the sort key by which the newer of two limits is higher."""
-        limit = math.inf if self.per_second is None else self.per_second
+        limit = math.inf if self.thousandths is None else self.thousandths
         return (self.version, -limit)
 
 
