Bound the refusal of a part and the limits that are told to other nodes

- A strike count beyond any real one, from a peer, overflowed the time for which a part is refused.
It doubles nine times at most.
- A limit near the largest float overflowed when it was told to others, and failed the request whose answer named it.
Limits are told up to a million a second.
- A run that had begun was continued without the check that its own request had three strikes; the check is back as it was before the marks of parts.

--- a/features/forwarding/limits.feature
+++ b/features/forwarding/limits.feature
@@ -37,6 +37,11 @@
     When 300 random sets of limits reach three registries in different orders
     Then all registries have the same limits
 
+  Scenario: A limit beyond all numbers of requests is no failure
+    Given a world with 1 plain endpoints and 1 node
+    When 1 of them names a limit of 1e308 requests a second and 20 requests a second reach all nodes for 1 seconds
+    Then all requests are answered 200
+
   Scenario Outline: A limit that is no number is ignored
     When an endpoint answers with the limit text "<text>"
     Then no limit is read from it
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/request_rate.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/request_rate.py
@@ -12,8 +12,8 @@
 PLACING_SHARE = 1.0
 #: Share of a limit that all nodes together use while they place their own.
 OWN_SHARE = 0.4
-#: Least limit that is assumed, in requests a second, whatever an endpoint names: one that gets none
-#: cannot name another limit.
+#: Least limit that is assumed, in requests a second: an endpoint that gets no
+#: request cannot name another limit.
 MIN_PER_SECOND = 0.1
 #: Time whose requests may be sent at once after a pause, in seconds.
 BURST_SECONDS = 1.0
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/strikes.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/strikes.py
@@ -37,6 +37,8 @@
 #: further strike. After it, a request with the part is sent to find out whether
 #: it still crashes endpoints.
 REFUSAL_SECONDS = 30.0
+#: Largest number of times that the refusal of a part doubles: to some hours.
+MAX_DOUBLINGS = 9
 #: Largest number of marks with strikes; the oldest ones are dropped first.
 MAX_TRACKED_MARKS = 4096
 
@@ -168,7 +170,8 @@
 
 def refusal_seconds(strike: Strike) -> float:
     """Return for how long a part with these strikes is refused, in seconds."""
-    return math.ldexp(REFUSAL_SECONDS, strike.count - PART_STRIKE_LIMIT)
+    doublings = min(strike.count - PART_STRIKE_LIMIT, MAX_DOUBLINGS)
+    return math.ldexp(REFUSAL_SECONDS, doublings)
 
 
 def smallest(marks: Iterable[bytes]) -> frozenset[bytes]:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
@@ -66,16 +66,26 @@
         An answer that has just broken off counts as a strike, since its
         endpoint may have crashed.
         """
-        registry = self.strike_registry
-        if registry.refuses_request(job.mark):
+        return self.refuses_request(job) or self.refuses_part(job)
+
+    def refuses_request(self, job: Job) -> bool:
+        """Return whether the request itself has too many strikes."""
+        if self.strike_registry.refuses_request(job.mark):
             return True
+        if not job.broken_answers:
+            return False
+        return job.strikes_at_send[0].count + 1 >= STRIKE_LIMIT
+
+    def refuses_part(self, job: Job) -> bool:
+        """Return whether a part of its prompt has too many strikes."""
         if any(
-            registry.refuses_part(mark, job.part_marks)
+            self.strike_registry.refuses_part(mark, job.part_marks)
             for mark in job.part_marks
         ):
             return True
-        return bool(job.broken_answers) and reaches_limit(
-            [strike.count + 1 for strike in job.strikes_at_send]
+        return bool(job.broken_answers) and any(
+            strike.count + 1 >= PART_STRIKE_LIMIT
+            for strike in job.strikes_at_send[1:]
         )
 
     def may_continue(self, job: Job, *, begun: bool) -> bool:
@@ -85,7 +95,7 @@
         It goes on only if no strike was known when it was sent.
         """
         if begun:
-            return not self.strike_registry.refuses_request(job.mark)
+            return not self.refuses_request(job)
         struck = any(strike.count for strike in job.strikes_at_send)
         return not struck and not self.refuses(job)
 
@@ -165,17 +175,6 @@
         )
 
 
-def reaches_limit(counts: list[int]) -> bool:
-    """Return whether a request or a part of its prompt has too many strikes.
-
-    `counts` has the strikes of the request, then those of each part.
-    """
-    request, *parts = counts
-    return request >= STRIKE_LIMIT or any(
-        part >= PART_STRIKE_LIMIT for part in parts
-    )
-
-
 async def refuses_connection(address: str) -> bool:
     """Return whether nothing listens at an address."""
     try:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_registry.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_registry.py
@@ -23,6 +23,8 @@
 RENEWAL_SECONDS = 2.0
 #: Most leaving signs that are kept: those of a large fleet in some minutes.
 MAX_SIGNS = 2048
+#: Largest limit that is told from others, in requests a second.
+MAX_PER_SECOND = 1e6
 #: Most limits that are kept: those of a large fleet.
 MAX_LIMITS = 4096
 #: Time after a failure for which the store counts as failing, in seconds.
@@ -88,7 +90,7 @@
             record.address,
             record.born,
             version,
-            None if per_second is None else round(per_second * THOUSAND),
+            None if per_second is None else to_thousandths(per_second),
         )
 
     def leaving_sign(self) -> LeavingSign:
@@ -264,6 +266,11 @@
         ]
 
 
+def to_thousandths(per_second: float) -> int:
+    """Return a limit in thousandths of a request a second."""
+    return round(min(per_second, MAX_PER_SECOND) * THOUSAND)
+
+
 def is_restarted(known: EndpointRecord, record: EndpointRecord) -> bool:
     """Return whether the record is of another incarnation."""
     if known.address != record.address or known.service != record.service:
