--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
@@ -33,7 +33,7 @@
     attempt: str
     strikes: tuple[Strike, ...]
 
-    def strike(self, registry: StrikeRegistry) -> Iterator[Strike | None]:
+    def record(self, registry: StrikeRegistry) -> Iterator[Strike | None]:
         """Count a strike against the request and each part of its prompt."""
         request, *parts = self.strikes
         yield registry.record_strike(request)
@@ -171,7 +171,7 @@
         await self.findings.report_strikes(
             strike
             for each in broken_off
-            for strike in each.strike(self.strike_registry)
+            for strike in each.record(self.strike_registry)
         )
 
 
