Send requests with a part one at a time from its first strike on

Callers could see: engines that crash within 0.1 s of each other come back together 3 s later and all crash again.

Cause, from the times in the failure: six engines crashed before any request was sent with a strike known, which is one strike for all. Trials began at two, so that 18 requests reached the engines that came back in 0.6 s, before the next crash.

Change: trials begin with the first strike. A part that many sound requests have is cleared by the next of them that begins, which was sent before or is the trial.

--- a/packages/turmericyard-decisions/src/turmericyard_decisions/trials.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/trials.py
@@ -1,4 +1,4 @@
-"""Sends prompts with a repeatedly struck part one at a time.
+"""Sends prompts with a struck part one at a time.
 
 While it is not known which part crashes endpoints, each request with it that is
 sent may crash one more. The outcome of one request, the trial, is awaited before
@@ -10,8 +10,9 @@
 
 from turmericyard_decisions.strikes import Strike, StrikeRegistry
 
-#: Strikes of a part from which its requests are sent one at a time.
-TRIAL_STRIKES = 2
+#: Strikes of a part from which its requests are sent one at a time. Engines that
+#: crash together under a part give it one strike, and come back together.
+TRIAL_STRIKES = 1
 #: Time after which a trial without an outcome is over, in seconds.
 TRIAL_SECONDS = 3.0
 
