--- a/features/support/fleet/early.py
+++ b/features/support/fleet/early.py
@@ -6,6 +6,8 @@
 
 import curio
 
+from support.fleet.raw_server import serve_raw
+
 ATTEMPT = re.compile(rb'x-turmericyard-attempt-id: (\S+)', re.IGNORECASE)
 REJECTED = b'too long'
 SEALED = b'x-turmericyard-response-seal: s'
@@ -25,10 +27,7 @@
     answered: int = 0
 
     async def serve(self, listener: object) -> None:
-        async with listener:
-            while True:
-                sock, _ = await listener.accept()
-                await curio.spawn(self.answer, sock, daemon=True)
+        await serve_raw(listener, self.answer)
 
     async def answer(self, sock: object) -> None:
         async with sock:
--- a/features/support/fleet/endless.py
+++ b/features/support/fleet/endless.py
@@ -6,6 +6,8 @@
 
 import curio
 
+from support.fleet.raw_server import serve_raw
+
 HEAD = b'HTTP/1.1 200 OK\r\n'
 ECHO = (
     b'x-turmericyard-attempt-id: at-%d\r\nx-turmericyard-response-seal: s\r\n'
@@ -57,10 +59,7 @@
     tasks: list[Any] = field(default_factory=list)
 
     async def serve(self, listener: Any) -> None:
-        async with listener:
-            while True:
-                sock, _ = await listener.accept()
-                await curio.spawn(self.flood, sock, daemon=True)
+        await serve_raw(listener, self.flood)
 
     async def flood(self, sock: Any) -> None:
         first, again = KINDS[self.kind]
--- a/features/support/fleet/scripted.py
+++ b/features/support/fleet/scripted.py
@@ -4,7 +4,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
-import curio
+from support.fleet.raw_server import serve_raw
 
 ATTEMPT = re.compile(rb'x-turmericyard-attempt-id: (\S+)', re.IGNORECASE)
 SEAL = b'x-turmericyard-response-seal: s\r\n'
@@ -40,10 +40,7 @@
     asked: int = 0
 
     async def serve(self, listener: object) -> None:
-        async with listener:
-            while True:
-                sock, _ = await listener.accept()
-                await curio.spawn(self.answer, sock, daemon=True)
+        await serve_raw(listener, self.answer)
 
     async def answer(self, sock: object) -> None:
         async with sock:
