--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -13,7 +13,6 @@
 
 import curio
 
-from turmericyard_clients.store import Change, Entry
 from turmericyard_http.clock import Clock
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.contact import ContactTimes
@@ -27,6 +26,11 @@
 )
 from turmericyard_node.forwarding.load_tracker import LoadTracker
 from turmericyard_node.forwarding.platform_state import PlatformState
+from turmericyard_node.forwarding.store_items import (
+    encode_items,
+    read_changes,
+    read_entries,
+)
 from turmericyard_node.members import Member, Membership
 from turmericyard_node.peers.mesh import PeerMesh
 from turmericyard_protocol.fleet_messages import (
@@ -36,7 +40,6 @@
     HubUpdate,
     PlaceReply,
     PlaceRequest,
-    StoreItem,
     ViewItemsReply,
     ViewItemsRequest,
 )
@@ -175,7 +178,7 @@
         await self.hub.findings.receive(update.findings)
         if not update.whole and update.sequence > report.sequence + 1:
             report.sequence = 0
-            self.platform_state.view.apply(0, to_changes(update.items))
+            self.platform_state.view.apply(0, read_changes(update.items))
             await self.platform_state.flush()
             return
         if update.whole:
@@ -196,9 +199,9 @@
         """Apply the store items of an update to the view."""
         view = self.platform_state.view
         if update.whole:
-            view.replace(update.revision, to_entries(update.items))
+            view.replace(update.revision, read_entries(update.items))
             return
-        view.apply(update.revision, to_changes(update.items))
+        view.apply(update.revision, read_changes(update.items))
 
     async def fetch_view(self, node: str) -> None:
         """Replace the view by that of a node that has a newer one."""
@@ -207,7 +210,7 @@
         received = reply.value_or(None)
         if isinstance(received, ViewItemsReply) and received.revision:
             self.platform_state.view.replace(
-                received.revision, to_entries(received.items)
+                received.revision, read_entries(received.items)
             )
             await self.platform_state.flush()
 
@@ -289,22 +292,4 @@
         view = self.platform_state.view
         if view.revision <= payload.after:
             return ViewItemsReply(0, ())
-        items = tuple(
-            StoreItem(entry.key, entry.value, entry.revision)
-            for entry in view.items.values()
-        )
-        return ViewItemsReply(view.revision, items)
-
-
-def to_changes(items: tuple[StoreItem, ...]) -> list[Change]:
-    """Return the items as changes of the view."""
-    return [Change(item.key, item.value, item.revision) for item in items]
-
-
-def to_entries(items: tuple[StoreItem, ...]) -> list[Entry]:
-    """Return the items that exist as entries of the store."""
-    return [
-        Entry(item.key, item.value, item.revision)
-        for item in items
-        if item.value is not None
-    ]
+        return ViewItemsReply(view.revision, encode_items(view.items.values()))
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -26,6 +26,7 @@
 )
 from turmericyard_node.forwarding.load_tracker import NOTHING, LoadTotal
 from turmericyard_node.forwarding.platform_state import PlatformState
+from turmericyard_node.forwarding.store_items import encode_items
 from turmericyard_node.peers.mesh import PeerMesh
 from turmericyard_protocol.codec import encode
 from turmericyard_protocol.fleet_messages import (
@@ -143,10 +144,7 @@
             whole=True,
             members=self.members,
             ejections=self.evidence.reported_ejections,
-            items=tuple(
-                StoreItem(entry.key, entry.value, entry.revision)
-                for entry in self.platform_state.view.items.values()
-            ),
+            items=encode_items(self.platform_state.view.items.values()),
             findings=self.findings.all_findings(),
         )
 
