--- a/packages/turmericyard-decisions/src/turmericyard_decisions/request_rate.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/request_rate.py
@@ -1,16 +1,15 @@
 """Keeps the requests to an endpoint within a number a second.
 
-A node that places the requests of all nodes uses the whole limit of an endpoint;
-a node that places its own without it uses a part of a smaller share. The sum then
-stays within the tolerance that endpoints allow, also while a node changes from
-one to the other.
+A hub uses the whole limit of an endpoint. A node without a hub uses an equal part
+of a smaller share. The sum stays within the tolerance that endpoints allow while
+nodes change from one to the other.
 """
 
 from dataclasses import dataclass
 
-#: Share of a limit that the node uses that places the requests of all nodes.
+#: Share of a limit for a hub, which places the requests of all nodes.
 PLACING_SHARE = 1.0
-#: Share of a limit that all nodes together use while they place their own.
+#: Share of a limit for all nodes together that place their own requests.
 OWN_SHARE = 0.4
 #: Least limit that is assumed, in requests a second: an endpoint that gets no
 #: request cannot name another limit.
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/strikes.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/strikes.py
@@ -26,8 +26,8 @@
 #: The same for a part of a prompt. It is higher, since requests that have
 #: nothing else in common are refused for it.
 PART_STRIKE_LIMIT = 4
-#: Largest number of strikes of a part beyond those of another part that
-#: explains them.
+#: A companion may be the cause of a part's strikes if it has at most so many
+#: fewer.
 EXPLAINED_MARGIN = 2
 #: Largest number of companions that are kept of a part.
 MAX_COMPANIONS = 16
