Log listings of the store that are not applied, and let its stand-in restore a copy

Nodes do not log when they take a listing for outdated, so that the log could not tell a store that lost changes from a watch that missed them. The event store:outdated names both revisions. The stand-in of the store can go on from a copy: revisions fall, a watch from a revision that it does not have gets 410, the header Store-Era rises.

--- a/features/support/fleet/store.py
+++ b/features/support/fleet/store.py
@@ -3,7 +3,7 @@
 import base64
 import json
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 from typing import Any
 
@@ -28,11 +28,22 @@
     lease: int = 0
 
 
+@dataclass
+class Backup:
+    """A copy of the store's content at one moment."""
+
+    items: dict[str, Item]
+    revision: int
+    history: list[tuple[int, str, bytes | None]]
+    leases: dict[int, int]
+
+
 @dataclass
 class FleetStore:
     """`mode` is empty, or how the store fails: busy, silent, reset or many.
 
-    `lose_writes` carries out writes and gives no answer.
+    `lose_writes` carries out writes and gives no answer. `era` is the value of
+    the header `Store-Era`, None for a store that sends none.
     """
 
     items: dict[str, Item] = field(default_factory=dict)
@@ -46,6 +57,7 @@
     #: Watches hear nothing; their empty answers still name the revision.
     deaf: bool = False
     page_items: int = 500
+    era: str | None = None
     calls: list[str] = field(default_factory=list)
 
     def put(self, key: str, value: Any, lease: int = 0) -> int:
@@ -64,6 +76,23 @@
             self.revision += 1
             self.history.append((self.revision, key, None))
 
+    def back_up(self) -> Backup:
+        return Backup(
+            dict(self.items),
+            self.revision,
+            list(self.history),
+            dict(self.leases),
+        )
+
+    def restore(self, backup: Backup) -> None:
+        """Go on from a copy; its numbers of leases are given out again."""
+        self.items = dict(backup.items)
+        self.revision = backup.revision
+        self.history = list(backup.history)
+        self.leases = dict(backup.leases)
+        self.lease_numbers = count(max(self.leases, default=0) + 1)
+        self.era = str(int(self.era or 0) + 1)
+
     def compact(self) -> None:
         self.history.clear()
         self.kept_from = self.revision
@@ -79,6 +108,10 @@
         if self.mode == 'reset':
             return OpaqueResponse(200, (), chunks=torn())
         answer = await self.carry_out(request)
+        if self.era is not None:
+            answer = replace(
+                answer, headers={**answer.headers, 'store-era': self.era}
+            )
         if self.lose_writes and request.path == '/-/kv-txn':
             await curio.sleep(1000)
         return answer
@@ -149,7 +182,7 @@
         after = int(query['after'])
         left = int(query['waitMs']) / 1000
         while True:
-            if after < self.kept_from:
+            if after < self.kept_from or after > self.revision:
                 return json_response(410, {})
             events = [
                 self.event(revision, key, value)
--- a/packages/turmericyard-node/src/turmericyard_node/events.py
+++ b/packages/turmericyard-node/src/turmericyard_node/events.py
@@ -22,6 +22,7 @@
     CONFIGURATION_REFUSED = (201, 'configuration:refused')
     STORE_UNAVAILABLE = (210, 'store:unavailable')
     STORE_AVAILABLE = (211, 'store:available')
+    STORE_OUTDATED = (212, 'store:outdated')
     PEER_REFUSED = (300, 'peer:refused')
     PEER_MALFORMED = (301, 'peer:malformed')
     PEER_LOST = (302, 'peer:lost')
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
@@ -15,6 +15,7 @@
 )
 from turmericyard_http.clock import Clock
 from turmericyard_node.contact import ContactTimes
+from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.platform_state import PlatformState
 
 #: Prefix of every key: the view has all items, and one watch covers them.
@@ -91,9 +92,14 @@
             return False
         self.record_answer()
         snapshot = listed.unwrap()
-        self.loaded = self.platform_state.view.replace(
-            snapshot.revision, snapshot.entries
-        )
+        view = self.platform_state.view
+        self.loaded = view.replace(snapshot.revision, snapshot.entries)
+        if not self.loaded:
+            log_event(
+                Event.STORE_OUTDATED,
+                revision=snapshot.revision,
+                known=view.revision,
+            )
         self.relist_at = self.clock() + RELIST_SECONDS
         return self.loaded
 
