Let the stand-in of the store answer after it was restored

Its answers are msgspec structs, so that dataclasses.replace raised and every answer with an era was lost: the first runs against failed for that reason alone.

--- a/features/support/fleet/store.py
+++ b/features/support/fleet/store.py
@@ -3,11 +3,12 @@
 import base64
 import json
 from collections.abc import Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from itertools import count
 from typing import Any
 
 import curio
+from msgspec.structs import replace
 
 from turmericyard_http.messages import (
     OpaqueResponse,
