Order what the store says by era and revision, so that a restored store is followed

Callers were answered by an old configuration (CONFIG): after the platform's store had come back from a copy, nodes ignored it until its revision had passed the one they knew, and an item written anew under a lower revision for longer; where the revision had passed theirs before they asked, their watches went on after it and missed the changes in between.

Cause: an order of revisions that holds within one history of the store was used across two.

Positions are now an era (Store-Era) and a revision, in the view, the watches, heartbeats and updates. Between eras the version in an item's content decides where it has one, so that older configurations and endpoints that have left stay out; items that the restored store lacks stay for the 2 s in which their writers write them again; nodes register again under a new lease. An era that is absent, malformed or lower is logged and changes nothing.

--- a/features/support/fleet/world.py
+++ b/features/support/fleet/world.py
@@ -1,9 +1,10 @@
 """Nodes, store, runners and clients in one loop of one scenario."""
 
 import socket as system_socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
 from functools import partial
+from itertools import count
 from typing import Any
 
 import curio
@@ -108,6 +109,8 @@
     by_address: dict[str, FleetRunner] = field(default_factory=dict)
     #: Starts of runners that crashed.
     births: int = 0
+    #: Numbers of the records that runners write.
+    beats: Iterator[int] = field(default_factory=count)
     #: How long a runner is away that crashed.
     crash_seconds: float = CRASH_SECONDS
 
@@ -144,7 +147,7 @@
             'slots': 8,
             'state': state,
             'coldRemainingMs': 0,
-            'seq': self.store.revision,
+            'seq': next(self.beats),
             **more,
         }
         self.store.put(f'servers/{identity}', record)
--- a/features/support/fleet_soak/faults.py
+++ b/features/support/fleet_soak/faults.py
@@ -18,6 +18,8 @@
 NOTICES = (1.5, 6.0)
 #: Time in which living runners renew lapsed records, in seconds.
 RENEW_SECONDS = 1.5
+#: Range of how long a store is away that is restored, in seconds.
+AWAY = (0.1, 1.5)
 STORE_MODES = ('busy', 'many', 'reset', 'silent')
 LINK_MODES = ('cut', 'stalled', 'one-way', 'slow')
 RUNNER_FAULTS = ('error', 'hang', 'unsigned', 'foreign', 'reset', 'full')
@@ -133,6 +135,19 @@
         stage.store.compact()
 
 
+async def restore_store(stage: Stage, source: Random) -> None:
+    """Let the store go on from a copy; its writers write again."""
+    backup = stage.store.back_up()
+    await last(source)
+    with stage.disturbed(CORE):
+        stage.store.mode = source.choice(STORE_MODES)
+        await curio.sleep(source.uniform(*AWAY))
+        stage.store.restore(backup)
+        stage.store.mode = ''
+        await curio.sleep(source.uniform(0, RENEW_SECONDS))
+        stage.write_again()
+
+
 async def change_link(
     stage: Stage, source: Random, kind: str, scope: str
 ) -> None:
@@ -232,6 +247,7 @@
         lose_store_writes,
         deafen_watches,
         compact_store,
+        restore_store,
         disturb_store_link,
         disturb_peer_link,
         disturb_runner_link,
--- a/features/support/fleet_soak/stage.py
+++ b/features/support/fleet_soak/stage.py
@@ -11,7 +11,7 @@
 import curio
 
 from support.fleet.runner import FleetRunner
-from support.fleet.store import FleetStore
+from support.fleet.store import Backup, FleetStore
 from support.fleet.world import KEY, World, manifest
 from support.fleet_soak.nodes import NodeProcess
 from turmericyard_bench.launch import LOOPBACK, Launcher, free_port
@@ -42,6 +42,7 @@
 class SoakStore(FleetStore):
     """A store whose leases lapse, and whose records name links to peers."""
 
+    era: str | None = '1'
     peer_links: dict[str, str] = field(default_factory=dict)
     lapses_at: dict[int, float] = field(default_factory=dict)
     lifetimes: dict[int, float] = field(default_factory=dict)
@@ -64,6 +65,11 @@
             self.extend(int(request.path.rpartition('/')[2]))
         return answer
 
+    def restore(self, backup: Backup) -> None:
+        super().restore(backup)
+        for number in self.leases:
+            self.extend(number)
+
     def extend(self, number: int) -> None:
         if number in self.leases:
             self.lapses_at[number] = boot_seconds() + self.lifetimes[number]
@@ -99,6 +105,7 @@
     disturbances: list[Disturbance] = field(default_factory=list)
     #: When each configuration was written, by version.
     versions: dict[int, float] = field(default_factory=dict)
+    configuration: dict[str, Any] = field(default_factory=dict)
     keys: list[str] = field(default_factory=lambda: [KEY])
     revoked: dict[str, float] = field(default_factory=dict)
     ends: list[tuple[str, float, float | None]] = field(default_factory=list)
@@ -226,9 +233,20 @@
             table['routes'].append(
                 {**route, 'name': f'reads-{older}', 'pathPrefix': f'/v{older}/'}
             )
+        self.configuration = table
         self.store.put('op/config', table)
         self.versions[version] = boot_seconds()
 
+    def write_again(self) -> None:
+        """Write what a restored store may have lost, or has once more."""
+        self.store.put('op/config', self.configuration)
+        for identity in self.services:
+            if identity in self.world.servers:
+                leaving = identity in self.left_at
+                self.register(identity, 'draining' if leaving else 'ready')
+            else:
+                self.store.drop(f'servers/{identity}')
+
     async def close(self) -> None:
         self.launcher.close()
         for server in self.world.servers.values():
--- a/packages/turmericyard-clients/src/turmericyard_clients/http_store.py
+++ b/packages/turmericyard-clients/src/turmericyard_clients/http_store.py
@@ -2,7 +2,7 @@
 
 import base64
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import quote
 
@@ -21,6 +21,7 @@
     WatchBatch,
     WatchCompacted,
 )
+from turmericyard_clients.store_eras import StoreEras
 from turmericyard_http.client import HttpClient
 from turmericyard_http.errors import HttpError, NotSent
 from turmericyard_http.messages import Response, quote_segment
@@ -45,6 +46,8 @@
 
     client: HttpClient
     timeout_seconds: float
+    #: This store names no era.
+    eras: StoreEras = field(default_factory=StoreEras)
 
     async def read(self, key: str) -> Result[Entry | None, StoreError]:
         """Return the entry, or None when the key does not exist."""
--- a/packages/turmericyard-clients/src/turmericyard_clients/store.py
+++ b/packages/turmericyard-clients/src/turmericyard_clients/store.py
@@ -9,16 +9,29 @@
 from msgspec import Struct
 from returns.result import Result
 
+from turmericyard_clients.store_eras import StoreEras
+
 #: Longest value that the store accepts, in bytes.
 MAX_VALUE_BYTES = 1_000_000
 
 
+#: Era and revision: a store that is restored from a copy starts a new era, in
+#: which it gives revisions out again.
+Position = tuple[int, int]
+
+
 class Entry(Struct, frozen=True):
-    """A stored value and the revision of its last change."""
+    """A stored value with the era and revision of its last change."""
 
     key: str
     value: bytes
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Return what orders this entry among all of its key."""
+        return (self.era, self.revision)
 
 
 class Snapshot(Struct, frozen=True):
@@ -26,6 +39,7 @@
 
     revision: int
     entries: tuple[Entry, ...]
+    era: int = 0
 
 
 class Change(Struct, frozen=True):
@@ -34,6 +48,12 @@
     key: str
     value: bytes | None
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Return what orders this change among all of its key."""
+        return (self.era, self.revision)
 
 
 class WatchBatch(Struct, frozen=True):
@@ -41,6 +61,7 @@
 
     revision: int
     changes: tuple[Change, ...]
+    era: int = 0
 
 
 class StoreConflict(Struct, frozen=True):
@@ -91,6 +112,21 @@
         return f'store refused the request: {self.detail}'
 
 
+class StoreEraPassed(Struct, frozen=True):
+    """The answer is from before the store was restored from a copy."""
+
+    era: int
+    latest: int
+
+    @property
+    def message(self) -> str:
+        """Return what happened and the remedy."""
+        return (
+            f'answer of era {self.era}, but the store is in era {self.latest}:'
+            ' read the key again'
+        )
+
+
 class WatchCompacted(Struct, frozen=True):
     """The requested revision is compacted: list the prefix again."""
 
@@ -107,6 +143,7 @@
     | StoreUnavailable
     | StoreAnswerLost
     | StoreRefused
+    | StoreEraPassed
     | WatchCompacted
 )
 
@@ -114,6 +151,8 @@
 class Store(Protocol):
     """Operations of the platform's store; each counts as one call."""
 
+    eras: StoreEras
+
     async def read(self, key: str) -> Result[Entry | None, StoreError]:
         """Return the entry, or None when the key does not exist."""
 
--- a/packages/turmericyard-node/src/turmericyard_node/events.py
+++ b/packages/turmericyard-node/src/turmericyard_node/events.py
@@ -23,6 +23,8 @@
     STORE_UNAVAILABLE = (210, 'store:unavailable')
     STORE_AVAILABLE = (211, 'store:available')
     STORE_OUTDATED = (212, 'store:outdated')
+    STORE_RESTORED = (213, 'store:restored')
+    STORE_ERA_INVALID = (214, 'store:era-invalid')
     PEER_REFUSED = (300, 'peer:refused')
     PEER_MALFORMED = (301, 'peer:malformed')
     PEER_LOST = (302, 'peer:lost')
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/discovery.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/discovery.py
@@ -19,6 +19,8 @@
 #: Interval of renewals of this node's record, in seconds: two may fail within
 #: the record's life.
 RENEW_SECONDS = 8.0
+#: Interval of attempts to write this node's record, in seconds.
+REGISTER_SECONDS = 1.0
 MEMBERS_PATH = '/members'
 DONE = 'done'
 
@@ -59,10 +61,19 @@
         self.fleet.mesh.addresses.pop(node, None)
 
     async def run_membership(self) -> None:
-        """Renew this node's record until cancelled."""
+        """Renew this node's record until cancelled.
+
+        A restored store has lost leases and gives their ids out again.
+        """
+        membership = self.fleet.membership
+        restored = self.fleet.platform_state.restored
         while True:
-            await self.fleet.membership.renew()
-            await curio.sleep(RENEW_SECONDS)
+            await membership.renew()
+            pause = RENEW_SECONDS if membership.lease else REGISTER_SECONDS
+            async with curio.ignore_after(pause):
+                await restored.wait()
+                restored.clear()
+                membership.lease = ''
 
     async def run_seeds(self) -> None:
         """Query the seeds for members while no hub or node is known.
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -123,6 +123,7 @@
             self.loads.to_messages(),
             self.tally.to_messages(),
             self.hub.findings.recent(),
+            self.platform_state.view.era,
         )
 
     async def run_beats(self) -> None:
@@ -199,18 +200,20 @@
         """Apply the store items of an update to the view."""
         view = self.platform_state.view
         if update.whole:
-            view.replace(update.revision, read_entries(update.items))
+            view.replace(
+                update.revision, read_entries(update.items), update.era
+            )
             return
-        view.apply(update.revision, read_changes(update.items))
+        view.apply(update.revision, read_changes(update.items), update.era)
 
     async def fetch_view(self, node: str) -> None:
         """Replace the view by that of a node that has a newer one."""
-        known = self.platform_state.view.revision
-        reply = await self.mesh.request(node, ViewItemsRequest(known))
+        era, revision = self.platform_state.view.position
+        reply = await self.mesh.request(node, ViewItemsRequest(revision, era))
         received = reply.value_or(None)
         if isinstance(received, ViewItemsReply) and received.revision:
             self.platform_state.view.replace(
-                received.revision, read_entries(received.items)
+                received.revision, read_entries(received.items), received.era
             )
             await self.platform_state.flush()
 
@@ -234,7 +237,8 @@
         stale = (
             self.clock() - self.contact.last_store_contact_at > STALE_SECONDS
         )
-        if stale and payload.revision > self.platform_state.view.revision:
+        position = (payload.era, payload.revision)
+        if stale and position > self.platform_state.view.position:
             await self.fetch_view(sender)
         return update
 
@@ -290,6 +294,7 @@
     ) -> ViewItemsReply:
         """Return this node's view when it is newer than the sender's."""
         view = self.platform_state.view
-        if view.revision <= payload.after:
+        if view.position <= (payload.era, payload.after):
             return ViewItemsReply(0, ())
-        return ViewItemsReply(view.revision, encode_items(view.items.values()))
+        items = encode_items(view.items.values())
+        return ViewItemsReply(view.revision, items, view.era)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
@@ -9,13 +9,16 @@
 
 from turmericyard_clients.store import (
     Change,
+    Snapshot,
     Store,
     StoreError,
+    WatchBatch,
     WatchCompacted,
 )
 from turmericyard_http.clock import Clock
 from turmericyard_node.contact import ContactTimes
 from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.endpoint_registry import RENEWAL_SECONDS
 from turmericyard_node.forwarding.platform_state import PlatformState
 
 #: Prefix of every key: the view has all items, and one watch covers them.
@@ -60,14 +63,19 @@
     random: Random = field(default_factory=Random)
     loaded: bool = False
     relist_at: float = 0
+    #: Era of the last listing, None before the first.
+    era: int | None = None
+    #: Until when items that a restored store lacks may be written again.
+    confirm_by: float = 0
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
+        self.store.eras.on_invalid = log_invalid_era
         while True:
             if self.loaded and not self.is_needed():
                 await curio.sleep(CHECK_SECONDS)
                 continue
-            if self.clock() >= self.relist_at:
+            if self.clock() >= self.relist_at or self.is_behind():
                 self.loaded = False
             answered = await (self.watch() if self.loaded else self.load())
             await self.platform_state.flush()
@@ -92,17 +100,47 @@
             return False
         self.record_answer()
         snapshot = listed.unwrap()
+        now = self.clock()
+        if snapshot.era != self.era:
+            self.start_era(snapshot)
+        keep_missing = now < self.confirm_by
         view = self.platform_state.view
-        self.loaded = view.replace(snapshot.revision, snapshot.entries)
+        self.loaded = view.replace(
+            snapshot.revision,
+            snapshot.entries,
+            snapshot.era,
+            keep_missing=keep_missing,
+        )
         if not self.loaded:
             log_event(
                 Event.STORE_OUTDATED,
+                era=snapshot.era,
                 revision=snapshot.revision,
+                known_era=view.era,
                 known=view.revision,
             )
-        self.relist_at = self.clock() + RELIST_SECONDS
+        self.relist_at = (
+            self.confirm_by if keep_missing else now + RELIST_SECONDS
+        )
         return self.loaded
 
+    def start_era(self, snapshot: Snapshot) -> None:
+        """Give the writers of lost items time to write them again."""
+        if self.era is not None:
+            log_event(
+                Event.STORE_RESTORED,
+                era=snapshot.era,
+                revision=snapshot.revision,
+                known=self.platform_state.view.revision,
+            )
+        self.era = snapshot.era
+        self.confirm_by = self.clock() + RENEWAL_SECONDS
+
+    def is_behind(self) -> bool:
+        """Return whether the store was restored since the last listing."""
+        eras = (self.store.eras.latest, self.platform_state.view.era)
+        return self.era is None or max(eras) > self.era
+
     async def watch(self) -> bool:
         """Apply the next changes; return whether the store answered."""
         watched = await self.store.watch(
@@ -112,8 +150,7 @@
         )
         if isinstance(watched, Success):
             self.record_answer()
-            changes = watched.unwrap().changes
-            self.platform_state.view.apply(latest_revision(changes), changes)
+            self.apply_batch(watched.unwrap())
             return True
         error = watched.failure()
         if isinstance(error, WatchCompacted):
@@ -122,6 +159,15 @@
         self.record_failure(error)
         return False
 
+    def apply_batch(self, batch: WatchBatch) -> None:
+        """Apply the changes of a watch unless it missed those of a restore."""
+        if batch.era != self.era:
+            self.loaded = False
+            return
+        self.platform_state.view.apply(
+            latest_revision(batch.changes), batch.changes, batch.era
+        )
+
     def record_answer(self) -> None:
         """Record an answer of the store."""
         now = self.clock()
@@ -134,6 +180,11 @@
         self.platform_state.registry.failed_at = self.clock()
 
 
+def log_invalid_era(named: str | None, latest: int) -> None:
+    """Log that an answer of the store names no valid era."""
+    log_event(Event.STORE_ERA_INVALID, named=named, era=latest)
+
+
 def latest_revision(changes: Iterable[Change]) -> int:
     """Return the latest revision among a watch's changes, 0 without any.
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
@@ -37,6 +37,9 @@
         '1',
         lambda: application.platform_state.view.revision,
     )
+    gauges.gauge(
+        f'{PREFIX}.view_era', '1', lambda: application.platform_state.view.era
+    )
     gauges.gauge(
         f'{PREFIX}.store_age',
         's',
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -15,7 +15,7 @@
 from msgspec.structs import replace
 from returns.result import Success
 
-from turmericyard_clients.store import Change
+from turmericyard_clients.store import Change, Position
 from turmericyard_http.clock import Clock
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.contact import ContactTimes
@@ -82,8 +82,8 @@
     )
     #: Nodes to which an update could not be sent.
     outdated: set[str] = field(default_factory=set)
-    #: Revision of the store up to which changes were sent to the nodes.
-    revision: int = 0
+    #: Position of the store up to which changes were sent to the nodes.
+    position: Position = (0, 0)
     members: tuple[tuple[str, bool], ...] = ()
     items: list[StoreItem] = field(default_factory=list)
     #: Granted places and the time at which each stops counting; by then the
@@ -92,7 +92,9 @@
 
     def observe(self, change: Change) -> None:
         """Queue a change of the store for the next update."""
-        self.items.append(StoreItem(change.key, change.value, change.revision))
+        self.items.append(
+            StoreItem(change.key, change.value, change.revision, change.era)
+        )
 
     def record_heartbeat(
         self, node: str, zone: str, heartbeat: FleetBeat
@@ -132,7 +134,7 @@
             self.outdated.discard(node)
             return self.full_update()
         empty = self.update(whole=False, members=(), ejections=None, items=())
-        return replace(empty, sequence=heartbeat.sequence, revision=0)
+        return replace(empty, sequence=heartbeat.sequence, revision=0, era=0)
 
     def delivered_sequence(self) -> int:
         """Return the sequence that every node must have received by now."""
@@ -148,10 +150,10 @@
             findings=self.findings.all_findings(),
         )
 
-    def reported_revision(self) -> int:
-        """Return the revision up to which every change was sent."""
+    def reported_position(self) -> Position:
+        """Return the position up to which every change was sent."""
         return (
-            self.revision if self.items else self.platform_state.view.revision
+            self.position if self.items else self.platform_state.view.position
         )
 
     def update(
@@ -168,18 +170,22 @@
         age = min(
             now - self.contact.last_store_contact_at, MAX_STORE_AGE_SECONDS
         )
+        era, revision = (
+            self.platform_state.view.position
+            if whole
+            else self.reported_position()
+        )
         return HubUpdate(
             self.sequence,
             whole,
             members,
             ejections,
-            self.platform_state.view.revision
-            if whole
-            else self.reported_revision(),
+            revision,
             int(age * MILLISECONDS),
             self.platform_state.registry.has_store_failed(now),
             items,
             findings,
+            era,
         )
 
     def start(self) -> None:
@@ -208,10 +214,11 @@
         members = self.changed_members()
         items = tuple(self.items)
         self.items.clear()
-        self.revision = self.platform_state.view.revision
+        changed = self.position[0] != self.platform_state.view.era
+        self.position = self.platform_state.view.position
         ejections = self.evidence.changed_ejections()
         findings = self.findings.take_pending()
-        changed = members or items or ejections is not None
+        changed = changed or bool(members or items) or ejections is not None
         if not changed and findings == NO_FINDINGS:
             return
         self.sequence += 1
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/platform_state.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/platform_state.py
@@ -48,6 +48,9 @@
     listeners: list[Listener] = field(default_factory=list)
     changed: curio.Event = field(default_factory=curio.Event)
     has_changed: bool = False
+    #: Set by `flush` after the view has moved to another era.
+    restored: curio.Event = field(default_factory=curio.Event)
+    flushed_era: int = 0
 
     def observe(self, change: Change) -> None:
         """Apply one change of the store and call the listeners."""
@@ -62,6 +65,9 @@
 
     async def flush(self) -> None:
         """Set `changed` after a change; to be called after view updates."""
+        if self.view.era != self.flushed_era:
+            self.flushed_era = self.view.era
+            await self.restored.set()
         if self.has_changed:
             self.has_changed = False
             await self.changed.set()
@@ -192,5 +198,6 @@
 ) -> PlatformState:
     """Return platform state that follows a new view."""
     platform_state = PlatformState(platform_adapter, clock)
+    platform_state.view.read_version = platform_adapter.read_item_version
     platform_state.view.listeners.append(platform_state.observe)
     return platform_state
--- a/packages/turmericyard-ports/src/turmericyard_ports/border.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/border.py
@@ -19,19 +19,13 @@
 from turmericyard_ports.settings import ForwardingSettings
 
 
-class PlatformAdapter(Protocol):
-    """Translates between a platform's formats and the core's types."""
+class StoreItemReader(Protocol):
+    """Reads the items that a platform publishes in its store."""
 
     #: Store prefixes below which the platform publishes its data.
     operator_prefix: str
     endpoint_prefix: str
 
-    def read_settings(self) -> Result[ForwardingSettings, str]:
-        """Return the settings of this process, or why they are invalid."""
-
-    def open_store(self, settings: ForwardingSettings) -> Store:
-        """Return a client of the platform's store."""
-
     def read_configuration(
         self, key: str, value: bytes
     ) -> Result[Configuration, str] | None:
@@ -40,6 +34,15 @@
         A failure says why the item is invalid.
         """
 
+    def read_item_version(
+        self, key: str, value: bytes
+    ) -> tuple[int, ...] | None:
+        """Return what orders the values of a store item by their content.
+
+        The numbers of a later value are higher, also if the store has lost
+        changes in between; None where the content has no order.
+        """
+
     def closed_zone(self, key: str) -> str | None:
         """Return the zone that a store item takes out of service, if any."""
 
@@ -48,6 +51,16 @@
     ) -> Result[EndpointRecord, str]:
         """Return the endpoint in a store item, or why it is invalid."""
 
+
+class PlatformAdapter(StoreItemReader, Protocol):
+    """Translates between a platform's formats and the core's types."""
+
+    def read_settings(self) -> Result[ForwardingSettings, str]:
+        """Return the settings of this process, or why they are invalid."""
+
+    def open_store(self, settings: ForwardingSettings) -> Store:
+        """Return a client of the platform's store."""
+
     def read_incoming_request(
         self, request: Request, now: float
     ) -> Result[IncomingRequest, Response]:
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -112,8 +112,8 @@
 class FleetBeat(Message, frozen=True):
     """Heartbeat of a forwarding node to its hubs.
 
-    `sequence` is that of the last update received from the hub and `revision`
-    that of the node's view of the store. `taking` tells whether clients may be
+    `sequence` is that of the last update received from the hub; `revision` and
+    `era` are those of the node's view of the store. `taking` tells whether clients may be
     sent to the node. `use` is its load on each endpoint. `answers` counts the
     answers of endpoints. The last batches of `answers` and the latest
     `findings` are sent repeatedly, because heartbeats may be lost.
@@ -125,14 +125,19 @@
     use: tuple[EndpointUse, ...]
     answers: tuple[EndpointAnswers, ...]
     findings: Findings = Findings()
+    era: int = 0
 
 
 class StoreItem(Message, frozen=True):
-    """An item of the store; `value` is None for a removed item."""
+    """An item of the store; `value` is None for a removed item.
+
+    `era` counts how often the store was restored before the item's change.
+    """
 
     key: str
     value: bytes | None
     revision: int
+    era: int = 0
 
 
 class HubUpdate(Message, frozen=True):
@@ -142,7 +147,7 @@
     hub receives, each with whether clients may be sent to it. `aside` are pairs
     of endpoint and zone, one for each endpoint that is ejected for the nodes of
     a zone because it fails their requests; None when unchanged. `items` are the
-    changed items of the store at `revision`. `store_age_ms` is the time since
+    changed items of the store at `revision` of `era`. `store_age_ms` is the time since
     the store last answered the hub and `trouble` whether its calls to the store
     failed recently.
     """
@@ -156,12 +161,17 @@
     trouble: bool
     items: tuple[StoreItem, ...]
     findings: Findings = Findings()
+    era: int = 0
 
 
 class ViewItemsRequest(Message, frozen=True):
-    """Asks a node for its view of the store if it is newer than `after`."""
+    """Asks a node for its view of the store if it is newer than the sender's.
+
+    `after` and `era` are the revision and the era of the sender's view.
+    """
 
     after: int
+    era: int = 0
 
 
 class ViewItemsReply(Message, frozen=True):
@@ -169,6 +179,7 @@
 
     revision: int
     items: tuple[StoreItem, ...]
+    era: int = 0
 
 
 class PlaceRequest(Message, frozen=True):
