--- a/features/forwarding/knowledge.feature
+++ b/features/forwarding/knowledge.feature
@@ -73,3 +73,20 @@
     Then the call was answered 200
     And the other node no longer lists its address
     And it is not ready
+
+  Scenario Outline: An odd record of another writer (<kind>) stops no node
+    Given a world with 1 plain endpoints and 2 nodes
+    When a record with <kind> appears among those of the endpoints
+    Then every node serves the new route within 2 seconds
+    And calls reach only the one endpoint
+
+    Examples:
+      | kind                    |
+      | deep nesting            |
+      | deep nesting in a field |
+      | a huge number           |
+      | a huge start            |
+      | an endless cold start   |
+      | a port out of range     |
+      | an impossible address   |
+      | a line break in its id  |
--- a/features/steps/forwarding_knowledge_steps.py
+++ b/features/steps/forwarding_knowledge_steps.py
@@ -1,10 +1,13 @@
 """Steps for the state of the platform that nodes keep."""
 
 import json
+from collections.abc import Iterator
+from contextlib import contextmanager
 from functools import partial
 from typing import Any
 
 import curio
+import eliot
 from behave import then, when
 from behave.runner import Context
 from msgspec.structs import replace
@@ -17,6 +20,7 @@
     seconds_until,
 )
 from support.fleet.world import World, manifest
+from turmericyard_node.events import Event
 
 #: Calls made to check whether an endpoint still gets any.
 PROBES = 12
@@ -261,6 +265,66 @@
     run(context, scenario)
 
 
+NESTED = '[' * 20_000 + ']' * 20_000
+ODD_RECORDS = {
+    'deep nesting': ('x', NESTED),
+    'deep nesting in a field': ('x', '{%s, "other": ' + NESTED + '}'),
+    'a huge number': ('x', '{%s, "slots": 1' + '0' * 400 + '}'),
+    'a huge start': ('x', '{%s, "born": 1' + '0' * 40 + '}'),
+    'an endless cold start': ('x', '{%s, "coldRemainingMs": 1e300}'),
+    'a port out of range': ('x', '{%s, "address": "127.0.0.1:99999"}'),
+    'an impossible address': ('x', '{%s, "address": "127.0.0.999:80"}'),
+    'a line break in its id': ('x\r\ny', '{%s}'),
+}
+COMMON = '"service": "plain", "address": "127.0.0.1:9", "zone": "a",' + (
+    ' "slots": 8, "state": "ready"'
+)
+
+
+@when('a record with {kind} appears among those of the endpoints')
+def step_odd_record(context: Context, kind: str) -> None:
+    async def scenario(world: World) -> None:
+        identity, value = ODD_RECORDS[kind]
+        encoded = value.replace('%s', COMMON).encode()
+        world.store.put(f'servers/{identity}', encoded)
+        await curio.sleep(0.6)
+        context.answers = [
+            await world.ask(f'n-{number % 2}', '/read/a', f'at-{number}')
+            for number in range(12)
+        ]
+        context.known = set(
+            world.nodes['n-0'].platform_state.registry.endpoints
+        )
+        world.store.put(f'servers/{identity}', encoded)
+        world.store.put('op/config', with_route())
+        context.took = {
+            node: await seconds_until(
+                world, partial(asks, world, node, '/more/a', 200), 5
+            )
+            for node in world.nodes
+        }
+
+    failed: list[Any] = []
+    with logged(Event.HANDLER_FAILED, failed):
+        run(context, scenario)
+    assert not failed, failed
+
+
+@contextmanager
+def logged(event: Event, messages: list[Any]) -> Iterator[None]:
+    """Collect the log messages of one event."""
+
+    def collect(message: dict[str, Any]) -> None:
+        if message.get('event') == event.value[0]:
+            messages.append(message)
+
+    eliot.add_destinations(collect)
+    try:
+        yield
+    finally:
+        eliot.remove_destination(collect)
+
+
 @then('calls reach only the one endpoint')
 def step_one_only(context: Context) -> None:
     assert {each.status for each in context.answers} == {200}
--- a/packages/turmericyard-node/src/turmericyard_node/members.py
+++ b/packages/turmericyard-node/src/turmericyard_node/members.py
@@ -48,7 +48,7 @@
     for record in records:
         try:
             member = msgspec.json.decode(record, type=Member)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
             continue
         members[member.node] = member
     return members
