--- a/packages/turmericyard-http/src/turmericyard_http/client.py
+++ b/packages/turmericyard-http/src/turmericyard_http/client.py
@@ -14,7 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from turmericyard_http.clock import boot_seconds
-from turmericyard_http.connection import ClientConnection, connect
+from turmericyard_http.connection import ClientConnection, Connect, connect
 from turmericyard_http.errors import AnswerLost, HttpError, NotSent
 from turmericyard_http.messages import Response
 
@@ -45,6 +45,7 @@
     clock: Callable[[], float] = boot_seconds
     #: How long sent bytes may stay unacknowledged; 0 uses the system default.
     user_timeout_seconds: float = 0
+    connect: Connect = connect
     idle: list[ClientConnection] = field(default_factory=list)
 
     async def request(
@@ -148,7 +149,9 @@
             await pooled.close()
         try:
             async with curio.timeout_after(self.connect_timeout_seconds):
-                return await connect(self.address, self.user_timeout_seconds)
+                return await self.connect(
+                    self.address, self.user_timeout_seconds
+                )
         except curio.TaskTimeout:
             return NotSent(self.address, 'connect timeout')
         except OSError as error:
--- a/packages/turmericyard-http/src/turmericyard_http/connection.py
+++ b/packages/turmericyard-http/src/turmericyard_http/connection.py
@@ -240,6 +240,11 @@
     sock.setsockopt(tcp, system_socket.TCP_KEEPCNT, max(1, int(seconds)))
 
 
+#: Opens a connection to `ip:port`, with a user timeout in seconds; raises
+#: OSError.
+Connect = Callable[[str, float], Awaitable[ClientConnection]]
+
+
 async def connect(
     address: str, user_timeout_seconds: float = 0
 ) -> ClientConnection:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -129,10 +129,10 @@
         fleet,
         boot_seconds,
         instruments,
-        CrashDetector(fleet.hub.findings, tasks),
+        CrashDetector(fleet.hub.findings, tasks, fleet.paths),
     )
     run_registry = RunRegistry(loads)
-    cleaner = CopyCleaner(platform_adapter, tasks)
+    cleaner = CopyCleaner(platform_adapter, tasks, fleet.paths)
     stream_failover = StreamFailover(
         sender, room.placement, loads, boot_seconds, cleaner
     )
@@ -164,6 +164,7 @@
         boot_seconds,
         instruments,
         cleaner,
+        fleet.paths,
     )
 
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/copies.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/copies.py
@@ -10,6 +10,7 @@
 
 from turmericyard_http.tasks import BackgroundTasks
 from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.paths import EndpointPaths
 from turmericyard_node.forwarding.runs import Run, RunCopy
 from turmericyard_ports.border import PlatformAdapter
 
@@ -20,6 +21,7 @@
 
     platform_adapter: PlatformAdapter
     tasks: BackgroundTasks
+    paths: EndpointPaths
 
     async def discard(self, run: Run, copy: RunCopy | None) -> None:
         """Start to free a copy that is not needed; None is ignored."""
@@ -31,7 +33,7 @@
         failure = ''
         for address in (copy.copied.source, copy.holder.record.address):
             freed = await self.platform_adapter.free_copy(
-                address, copy.copied.handle
+                self.paths.connect, address, copy.copied.handle
             )
             if isinstance(freed, Success):
                 return
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
@@ -12,12 +12,12 @@
     Strike,
     StrikeRegistry,
 )
-from turmericyard_http.connection import connect
 from turmericyard_http.tasks import BackgroundTasks
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.findings import FindingRegistry
 from turmericyard_node.forwarding.job import Job
+from turmericyard_node.forwarding.paths import EndpointPaths
 
 #: Time within which all connections of a crashed endpoint break, in seconds.
 GATHER_SECONDS = 0.05
@@ -53,6 +53,7 @@
 
     findings: FindingRegistry
     tasks: BackgroundTasks
+    paths: EndpointPaths
     broken: dict[str, list[BrokenAnswer]] = field(default_factory=dict)
 
     @property
@@ -153,7 +154,7 @@
     async def check(self, endpoint: Endpoint) -> None:
         """Strike each request if the endpoint refuses connections."""
         await curio.sleep(GATHER_SECONDS)
-        refused = await refuses_connection(endpoint.record.address)
+        refused = await self.is_refused(endpoint.record.address)
         broken_off = self.broken.pop(endpoint.identity)
         if not refused:
             return
@@ -174,18 +175,13 @@
             for strike in each.record(self.strike_registry)
         )
 
-
-async def refuses_connection(address: str) -> bool:
-    """Return whether nothing listens at an address."""
-    try:
-        async with curio.timeout_after(CONNECT_SECONDS):
-            connection = await connect(address)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, curio.TaskTimeout):
-        return False
-    await connection.close()
-    return False
+    async def is_refused(self, address: str) -> bool:
+        """Return whether nothing listens at an endpoint's address."""
+        try:
+            async with curio.timeout_after(CONNECT_SECONDS):
+                return await self.paths.is_refused(address)
+        except curio.TaskTimeout:
+            return False
 
 
 def mark_of(workspace: str | None, target: bytes, body: bytes) -> bytes:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_poll.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_poll.py
@@ -73,7 +73,7 @@
         if endpoint.is_backing_off(self.clock()):
             return
         report = await self.platform_adapter.fetch_endpoint_report(
-            endpoint.record.address
+            self.fleet.paths.connect, endpoint.record.address
         )
         if isinstance(report, Success) and report.unwrap().leaving:
             await self.fleet.hub.findings.report_leaving(endpoint)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_response.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_response.py
@@ -11,7 +11,7 @@
 import h11
 from returns.result import Failure, Result, Success
 
-from turmericyard_http.connection import ClientConnection, connect
+from turmericyard_http.connection import ClientConnection, Connect
 from turmericyard_http.errors import AnswerLost, HttpError, NotSent
 from turmericyard_http.messages import Headers
 from turmericyard_ports.request import IncomingRequest
@@ -60,7 +60,11 @@
 
 
 async def send_request(
-    address: str, incoming: IncomingRequest, lines: Headers, seconds: float
+    connect: Connect,
+    address: str,
+    incoming: IncomingRequest,
+    lines: Headers,
+    seconds: float,
 ) -> Result[EndpointResponse, HttpError]:
     """Connect, send a request and return its response.
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -25,6 +25,7 @@
     HubReport,
 )
 from turmericyard_node.forwarding.load_tracker import LoadTracker
+from turmericyard_node.forwarding.paths import EndpointPaths
 from turmericyard_node.forwarding.platform_state import PlatformState
 from turmericyard_node.forwarding.store_items import (
     encode_items,
@@ -66,6 +67,7 @@
     hub: Hub
     hub_choice: HubChoice
     clock: Clock
+    paths: EndpointPaths
     is_ready: Callable[[], bool]
     #: Choose places for generations and copies of other nodes.
     place_for_peer: Callable[[PlaceRequest], Endpoint | None] | None = None
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
@@ -15,6 +15,7 @@
 from turmericyard_node.forwarding.hub import LIVE_SECONDS, create_hub
 from turmericyard_node.forwarding.hub_choice import HubChoice
 from turmericyard_node.forwarding.load_tracker import LoadTracker
+from turmericyard_node.forwarding.paths import EndpointPaths
 from turmericyard_node.forwarding.platform_state import PlatformState
 from turmericyard_node.members import Member, Membership
 from turmericyard_node.peers.identity import Identity
@@ -74,6 +75,7 @@
         hub,
         HubChoice(membership, boot_seconds),
         boot_seconds,
+        EndpointPaths(),
         is_not_ready,
     )
     mesh.receiver = fleet.receive
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
@@ -17,6 +17,7 @@
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.load_tracker import LoadTracker, RequestLoad
+from turmericyard_node.forwarding.paths import EndpointPaths
 from turmericyard_node.forwarding.placement import HubPlacement
 from turmericyard_node.forwarding.runs import Run, RunCopy, RunRegistry
 from turmericyard_ports.border import PlatformAdapter
@@ -45,6 +46,7 @@
     clock: Clock
     instruments: Instruments
     cleaner: CopyCleaner
+    paths: EndpointPaths
 
     async def copy_until_ended(self, endpoint: Endpoint) -> None:
         """Copy the runs of a leaving endpoint until none is left there.
@@ -102,6 +104,7 @@
         await self.loads.changed.set()
         started_at = self.clock()
         copied = await self.platform_adapter.copy_run(
+            self.paths.connect,
             source.record.address,
             run.job.attempt,
             holder.record.address,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -118,6 +118,7 @@
             copied,
         )
         result = await send_request(
+            self.fleet.paths.connect,
             endpoint.record.address,
             job.incoming,
             self.platform_adapter.forwarded_headers(
--- a/packages/turmericyard-ports/src/turmericyard_ports/border.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/border.py
@@ -6,6 +6,7 @@
 from returns.result import Result
 
 from turmericyard_clients.store import Store
+from turmericyard_http.connection import Connect
 from turmericyard_http.messages import Request, Response
 from turmericyard_ports.configuration import Configuration
 from turmericyard_ports.endpoint import CopiedRun, CopyError, EndpointRecord
@@ -110,14 +111,22 @@
         """Return the zone of a client that requests addresses."""
 
     async def fetch_endpoint_report(
-        self, address: str
+        self, connect: Connect, address: str
     ) -> Result[EndpointReport, str]:
         """Return what an engine reports, or why there is no answer."""
 
-    async def free_copy(self, address: str, handle: str) -> Result[None, str]:
+    async def free_copy(
+        self, connect: Connect, address: str, handle: str
+    ) -> Result[None, str]:
         """Free a copy by its handle; a failure says why it was not freed."""
 
     async def copy_run(
-        self, address: str, attempt: str, destination: str, *, last: bool
+        self,
+        connect: Connect,
+        address: str,
+        attempt: str,
+        destination: str,
+        *,
+        last: bool,
     ) -> Result[CopiedRun, CopyError]:
         """Copy a run to another endpoint; with `last`, stop it before."""
