Reach endpoints through a peer where the direct path is blocked

Their failures also ejected sound endpoints for all zones.

Cause: each request needed a direct connection, and what one node did not reach counted as down for all. Ruled out by the log: requests that found a way too late (none left through a peer), and crashed endpoints (no endpoint:died).

Connections lead through a tunnel of a peer when the direct attempt fails or takes 60 ms; only a peer that reaches the endpoint proves that the path is blocked. A node with two such endpoints in a row is cut off, says so in its heartbeats, is asked for no tunnels, and its failures are no evidence. Checks of crashes, reports and copies take the same way. One direct attempt a second finds the end of the cut.

cut_off.feature (1 to 3 of 4 nodes, hang, reset, refuse): 14 of 18 scenarios failed before, none now. Other features of forwarding, platform, protocol, http and clients: 238 passed, 0 failed, 1 known red.

--- a/packages/turmericyard-node/src/turmericyard_node/events.py
+++ b/packages/turmericyard-node/src/turmericyard_node/events.py
@@ -16,6 +16,8 @@
     LOGS_DROPPED = (106, 'logs:dropped')
     LOOP_STALLED = (107, 'loop:stalled')
     METRICS_CLOSED = (108, 'metrics:closed')
+    NODE_CUT_OFF = (109, 'node:cut-off')
+    NODE_RECONNECTED = (110, 'node:reconnected')
     NODE_ISOLATED = (103, 'node:isolated')
     NODE_REJOINED = (104, 'node:rejoined')
     CONFIGURATION_ACCEPTED = (200, 'configuration:accepted')
@@ -54,6 +56,7 @@
     ENDPOINTS_ASIDE = (506, 'endpoints:aside')
     ENDPOINT_RESTS = (507, 'endpoint:rests')
     ENDPOINT_LIMITED = (508, 'endpoint:limited')
+    PATH_BLOCKED = (509, 'path:blocked')
     ORDER_GIVEN = (600, 'order:given')
     HANDLER_FAILED = (900, 'handler:failed')
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
@@ -199,6 +199,7 @@
             busy = (
                 self.request_handler.open_requests
                 or self.run_copier.run_registry.runs
+                or self.fleet.tunnels.open_tunnels
             )
             idle = not busy and seen == self.request_handler.request_count
             if idle and self.clock() >= earliest:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
@@ -117,7 +117,7 @@
             async with curio.timeout_after(max(0, ends_at - self.clock())):
                 body = await response.read_all()
         except READ_ERRORS as error:
-            self.sender.fleet.tally.observe(endpoint, failed=True)
+            self.sender.observe_failure(endpoint)
             if not isinstance(error, curio.TaskTimeout):
                 await self.sender.crashes.record_broken_answer(job, endpoint)
             return MayHaveRun(repr(error))
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -34,6 +34,7 @@
 )
 from turmericyard_node.members import Member, Membership
 from turmericyard_node.peers.mesh import PeerMesh
+from turmericyard_node.peers.tunnel import TunnelServer
 from turmericyard_protocol.fleet_messages import (
     CopyPlaceRequest,
     EndpointUse,
@@ -68,6 +69,7 @@
     hub_choice: HubChoice
     clock: Clock
     paths: EndpointPaths
+    tunnels: TunnelServer
     is_ready: Callable[[], bool]
     #: Choose places for generations and copies of other nodes.
     place_for_peer: Callable[[PlaceRequest], Endpoint | None] | None = None
@@ -126,6 +128,7 @@
             self.tally.to_messages(),
             self.hub.findings.recent(),
             self.platform_state.view.era,
+            self.paths.is_cut_off,
         )
 
     async def run_beats(self) -> None:
@@ -137,9 +140,9 @@
                 for node in self.hub_choice.other_hubs():
                     await group.spawn(self.exchange_heartbeat, node)
             self.hub.expire_grants()
-            self.hub.evidence.record(
-                self.own.node, self.own.zone, self.tally.to_messages()
-            )
+            answers = self.tally.to_messages()
+            if not self.paths.is_cut_off:
+                self.hub.evidence.record(self.own.node, self.own.zone, answers)
             self.platform_state.registry.expire(self.clock())
             await sleep_to_tick(HEARTBEAT_SECONDS)
 
@@ -191,6 +194,8 @@
             report.members = dict(update.members)
         if update.aside is not None:
             report.ejections = frozenset(update.aside)
+        if update.cut_off is not None:
+            report.cut_off = frozenset(update.cut_off)
         if report.store_age < STALE_SECONDS:
             self.contact.record_store_contact(
                 report.received_at - report.store_age
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
@@ -20,6 +20,7 @@
 from turmericyard_node.members import Member, Membership
 from turmericyard_node.peers.identity import Identity
 from turmericyard_node.peers.mesh import PeerMesh
+from turmericyard_node.peers.tunnel import TunnelServer
 from turmericyard_ports.settings import ForwardingSettings
 
 #: Time for which a record outlives its node, in seconds.
@@ -65,6 +66,15 @@
     )
     hub = create_hub(mesh, contact, platform_state, boot_seconds, evidence)
     loads = LoadTracker(hub.peer_totals, changed=hub.findings.heartbeat_wanted)
+    paths = EndpointPaths(
+        mesh,
+        own,
+        boot_seconds,
+        list,
+        partial(zone_of_address, platform_state),
+        loads.changed,
+    )
+    hub.cut_off_nodes.own = partial(own_name_if_cut_off, paths)
     fleet = Fleet(
         membership,
         contact,
@@ -75,10 +85,13 @@
         hub,
         HubChoice(membership, boot_seconds),
         boot_seconds,
-        EndpointPaths(),
+        paths,
+        TunnelServer(partial(is_served, paths)),
         is_not_ready,
     )
     mesh.receiver = fleet.receive
+    paths.relays = partial(find_relays, fleet)
+    mesh.serve_tunnel = fleet.tunnels.serve
     return fleet
 
 
@@ -93,6 +106,38 @@
     return LATEST_WEIGHT
 
 
+def find_relays(fleet: Fleet) -> list[Member]:
+    """Return the nodes that may reach endpoints for this one."""
+    report = fleet.hub_choice.current_report()
+    cut_off = set(fleet.hub.cut_off_nodes.reported)
+    if report is not None and not fleet.hub_choice.is_hub():
+        cut_off = set(report.cut_off)
+    members = fleet.membership.members
+    return [
+        members[node]
+        for node, taking in fleet.live_members().items()
+        if taking and node in members and node not in cut_off
+    ]
+
+
+def zone_of_address(platform_state: PlatformState, address: str) -> str:
+    """Return the zone of the endpoint at an address, empty for no endpoint."""
+    for endpoint in platform_state.registry.endpoints.values():
+        if endpoint.record.address == address:
+            return endpoint.record.zone
+    return ''
+
+
+def is_served(paths: EndpointPaths, address: str) -> bool:
+    """Return whether this node may reach an endpoint for a peer."""
+    return not paths.is_cut_off and bool(paths.zone_of(address))
+
+
+def own_name_if_cut_off(paths: EndpointPaths) -> tuple[str, ...]:
+    """Return the name of this node if it is cut off from all endpoints."""
+    return (paths.own.node,) if paths.is_cut_off else ()
+
+
 def is_not_ready() -> bool:
     """Return False, until the application sets its own check."""
     return False
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
@@ -45,6 +45,21 @@
         's',
         lambda: application.clock() - application.contact.last_store_contact_at,
     )
+    register_paths(application, gauges)
     gauges.counter(
         f'{PREFIX}.loop_stalls', '{stall}', lambda: application.stalls.stalls
     )
+
+
+def register_paths(application: ForwardingApplication, gauges: Any) -> None:
+    """Register what tells of paths that lead through peers."""
+    fleet = application.fleet
+    gauges.gauge(f'{PREFIX}.cut_off', '1', lambda: int(fleet.paths.is_cut_off))
+    gauges.gauge(
+        f'{PREFIX}.open_tunnels', '{tunnel}', lambda: fleet.tunnels.open_tunnels
+    )
+    gauges.counter(
+        f'{PREFIX}.relayed_connections',
+        '{connection}',
+        lambda: fleet.paths.relayed,
+    )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -19,6 +19,7 @@
 from turmericyard_http.clock import Clock
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.contact import ContactTimes
+from turmericyard_node.forwarding.cut_off_nodes import CutOffNodes
 from turmericyard_node.forwarding.endpoint_evidence import FleetEvidence
 from turmericyard_node.forwarding.findings import (
     FindingRegistry,
@@ -51,6 +52,9 @@
 GRANT_SECONDS = 0.25
 #: An update without findings.
 NO_FINDINGS = Findings()
+#: Members, items, ejections, nodes that are cut off and findings of an update
+#: that need not be sent.
+UNCHANGED = ((), (), None, None, NO_FINDINGS)
 #: Age reported for a store that never answered, in seconds.
 MAX_STORE_AGE_SECONDS = 3600.0
 
@@ -85,6 +89,7 @@
     #: Position of the store up to which changes were sent to the nodes.
     position: Position = (0, 0)
     members: tuple[tuple[str, bool], ...] = ()
+    cut_off_nodes: CutOffNodes = field(default_factory=CutOffNodes)
     items: list[StoreItem] = field(default_factory=list)
     #: Granted places and the time at which each stops counting; by then the
     #: heartbeats of its node include it.
@@ -103,7 +108,8 @@
         self.forget(node)
         self.last_heartbeats[node] = (self.clock(), heartbeat)
         self.count(heartbeat.use, 1)
-        self.evidence.record(node, zone, heartbeat.answers)
+        if not heartbeat.cut_off:
+            self.evidence.record(node, zone, heartbeat.answers)
 
     def forget(self, node: str) -> None:
         """Discard a node's last heartbeat and subtract its uses."""
@@ -148,12 +154,7 @@
             ejections=self.evidence.reported_ejections,
             items=encode_items(self.platform_state.view.items.values()),
             findings=self.findings.all_findings(),
-        )
-
-    def reported_position(self) -> Position:
-        """Return the position up to which every change was sent."""
-        return (
-            self.position if self.items else self.platform_state.view.position
+            cut_off=self.cut_off_nodes.reported,
         )
 
     def update(
@@ -164,6 +165,7 @@
         ejections: tuple[tuple[str, str], ...] | None,
         items: tuple[StoreItem, ...],
         findings: Findings = NO_FINDINGS,
+        cut_off: tuple[str, ...] | None = None,
     ) -> HubUpdate:
         """Return an update with the given content and the store's state."""
         now = self.clock()
@@ -171,9 +173,9 @@
             now - self.contact.last_store_contact_at, MAX_STORE_AGE_SECONDS
         )
         era, revision = (
-            self.platform_state.view.position
-            if whole
-            else self.reported_position()
+            self.position
+            if self.items and not whole
+            else self.platform_state.view.position
         )
         return HubUpdate(
             self.sequence,
@@ -186,6 +188,7 @@
             items,
             findings,
             era,
+            cut_off,
         )
 
     def start(self) -> None:
@@ -214,12 +217,17 @@
         members = self.changed_members()
         items = tuple(self.items)
         self.items.clear()
-        changed = self.position[0] != self.platform_state.view.era
+        is_same_era = self.position[0] == self.platform_state.view.era
         self.position = self.platform_state.view.position
         ejections = self.evidence.changed_ejections()
         findings = self.findings.take_pending()
-        changed = changed or bool(members or items) or ejections is not None
-        if not changed and findings == NO_FINDINGS:
+        cut_off = self.cut_off_nodes.changed(
+            node
+            for node, (_, heartbeat) in self.last_heartbeats.items()
+            if heartbeat.cut_off
+        )
+        news = (members, items, ejections, cut_off, findings)
+        if is_same_era and news == UNCHANGED:
             return
         self.sequence += 1
         update = self.update(
@@ -228,9 +236,13 @@
             ejections=ejections,
             items=items,
             findings=findings,
+            cut_off=cut_off,
         )
+        await self.send_to_all(encode(update))
+
+    async def send_to_all(self, frame: bytes) -> None:
+        """Send an update; nodes that missed one get the full state instead."""
         outdated = self.last_heartbeats.keys() & self.outdated
-        frame = encode(update)
         full_frame = encode(self.full_update()) if outdated else frame
         self.outdated -= outdated
         async with curio.TaskGroup() as group:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub_choice.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub_choice.py
@@ -32,6 +32,8 @@
     store_age: float = float('inf')
     #: Whether the hub's own calls to the store failed recently.
     store_failed: bool = False
+    #: Nodes that reach no endpoint by themselves.
+    cut_off: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -167,7 +167,7 @@
             self.fleet.tally.observe(endpoint, failed=True)
             return MayHaveRun('the answer belongs to another request')
         if verdict is Verdict.MISDIRECTED:
-            self.fleet.tally.observe_unreachable(endpoint)
+            self.observe_unreachable(endpoint)
         return NotRun(f'{verdict.value}, status {head.status}')
 
     async def observe_report(
@@ -197,11 +197,21 @@
         if isinstance(error, AnswerLost) and error.broken:
             await self.crashes.record_broken_answer(job, endpoint)
         if isinstance(error, NotSent):
-            self.fleet.tally.observe_unreachable(endpoint)
+            self.observe_unreachable(endpoint)
             return NotRun(error.detail)
-        self.fleet.tally.observe(endpoint, failed=True)
+        self.observe_failure(endpoint)
         return MayHaveRun(error.detail)
 
+    def observe_unreachable(self, endpoint: Endpoint) -> None:
+        """Record an unreachable endpoint unless this node reaches none."""
+        if not self.fleet.paths.is_cut_off:
+            self.fleet.tally.observe_unreachable(endpoint)
+
+    def observe_failure(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint failed unless this node reaches none."""
+        if not self.fleet.paths.is_cut_off:
+            self.fleet.tally.observe(endpoint, failed=True)
+
 
 def outcome_label(outcome: EndpointResponse | NotRun | MayHaveRun) -> str:
     """Return the label under which an outcome is counted."""
--- a/packages/turmericyard-node/src/turmericyard_node/peers/mesh.py
+++ b/packages/turmericyard-node/src/turmericyard_node/peers/mesh.py
@@ -26,11 +26,18 @@
 from turmericyard_node.peers.link import PeerLink
 from turmericyard_protocol.codec import Envelope, decode, encode
 from turmericyard_protocol.errors import PeerError, PeerUnreachable
+from turmericyard_protocol.tunnel_messages import TunnelOpen
 
 HANDSHAKE_TIMEOUT_SECONDS = 2
 REQUEST_TIMEOUT_SECONDS = 0.5
 
 MessageHandler = Callable[[Any, str], Awaitable[Any]]
+#: Serves a tunnel on a channel until it ends.
+TunnelHandler = Callable[[Channel, TunnelOpen], Awaitable[None]]
+
+
+async def ignore_tunnel(_channel: Channel, _request: TunnelOpen) -> None:
+    """Serve no tunnel."""
 
 
 @dataclass(slots=True)
@@ -51,6 +58,7 @@
     identity: Identity
     receiver: MessageHandler
     source: str = ANY_SOURCE
+    serve_tunnel: TunnelHandler = ignore_tunnel
     addresses: dict[str, str] = field(default_factory=dict)
     links: dict[str, PeerLink] = field(default_factory=dict)
     dial_locks: dict[str, Any] = field(default_factory=dict)
@@ -205,7 +213,11 @@
                     message=decoded.failure().message,
                 )
                 return
-            await self.tasks.spawn(self.answer, channel, node, decoded.unwrap())
+            envelope = decoded.unwrap()
+            if isinstance(envelope.payload, TunnelOpen):
+                await self.serve_tunnel(channel, envelope.payload)
+                return
+            await self.tasks.spawn(self.answer, channel, node, envelope)
 
     async def answer(
         self, channel: Channel, node: str, envelope: Envelope
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -114,7 +114,8 @@
 
     `sequence` is that of the last update received from the hub; `revision` and
     `era` are those of the node's view of the store. `taking` tells whether clients may be
-    sent to the node. `use` is its load on each endpoint. `answers` counts the
+    sent to the node, `cut_off` whether the node reaches no endpoint by itself.
+    `use` is its load on each endpoint. `answers` counts the
     answers of endpoints. The last batches of `answers` and the latest
     `findings` are sent repeatedly, because heartbeats may be lost.
     """
@@ -126,6 +127,7 @@
     answers: tuple[EndpointAnswers, ...]
     findings: Findings = Findings()
     era: int = 0
+    cut_off: bool = False
 
 
 class StoreItem(Message, frozen=True):
@@ -149,7 +151,8 @@
     a zone because it fails their requests; None when unchanged. `items` are the
     changed items of the store at `revision` of `era`. `store_age_ms` is the time since
     the store last answered the hub and `trouble` whether its calls to the store
-    failed recently.
+    failed recently. `cut_off` are the nodes that reach no endpoint by
+    themselves; None when unchanged.
     """
 
     sequence: int
@@ -162,6 +165,7 @@
     items: tuple[StoreItem, ...]
     findings: Findings = Findings()
     era: int = 0
+    cut_off: tuple[str, ...] | None = None
 
 
 class ViewItemsRequest(Message, frozen=True):
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/message_types.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/message_types.py
@@ -3,7 +3,7 @@
 A number is never reused for another type.
 """
 
-from turmericyard_protocol import fleet_messages, messages
+from turmericyard_protocol import fleet_messages, messages, tunnel_messages
 from turmericyard_protocol.message import Message
 
 MESSAGE_TYPES: dict[int, type[Message]] = {
@@ -41,4 +41,8 @@
     44: fleet_messages.PlaceRequest,
     45: fleet_messages.PlaceReply,
     46: fleet_messages.CopyPlaceRequest,
+    50: tunnel_messages.TunnelOpen,
+    51: tunnel_messages.TunnelReply,
+    52: tunnel_messages.TunnelData,
+    53: tunnel_messages.TunnelEnd,
 }
