Take the last message of a tunnel that comes with its end

A peer that refuses a tunnel closes the channel behind its reply. Where both came at once the reply was lost, and a refused connection looked like a peer that could not help: the caller then tried directly once more before the endpoint counted as down.

--- a/packages/turmericyard-node/src/turmericyard_node/peers/tunnel.py
+++ b/packages/turmericyard-node/src/turmericyard_node/peers/tunnel.py
@@ -83,11 +83,16 @@
 
 
 async def read_payload(channel: Channel) -> Any:
-    """Return the next message, None for a malformed one or a closed tunnel."""
+    """Return the next message, None for a malformed one or a closed tunnel.
+
+    The last message may arrive together with the end of the tunnel.
+    """
     try:
         frame = await channel.read()
     except (OSError, ChannelClosed):
-        return None
+        if not channel.frames:
+            return None
+        frame = channel.frames.popleft()
     envelope = decode(frame).value_or(None)
     return envelope.payload if envelope else None
 
