Let several requests ask one peer for tunnels at the same time

The entry that puts a peer last was removed by each request that the peer had answered; the second one raised KeyError, and its caller got no answer.

--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/paths.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/paths.py
@@ -147,11 +147,11 @@
             )
             if isinstance(opened, Success):
                 self.relayed += 1
-                self.avoided_until.pop(member.node)
+                self.avoided_until.pop(member.node, None)
                 return opened
             failure = opened.failure()
             if failure is TunnelFailure.REFUSED:
-                self.avoided_until.pop(member.node)
+                self.avoided_until.pop(member.node, None)
                 return opened
         return Failure(failure)
 
