Keep the requests to brittle endpoints within their slots, over all nodes

Endpoints that say Server-Brittle = N fall over when they reject more than N requests in a second.

Cause: each node filled the slots of plain endpoints by its own calls alone. The header travels in the same finding as Server-Limit. While an endpoint of a service is brittle, the hub places the service's calls and counts each from its place until its node releases it; a node without a hub uses an equal part of the slots. Waiting calls of a plain service are asked for in order, one failed question a pass.

--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -66,6 +66,15 @@
     leaving: bool = False
     #: The requests a second that it says it takes, in all its answers.
     limit: float | None = None
+    #: The requests that it may turn away in a second, in all its answers; one
+    #: more crashes it. It runs `slots` requests at a time and lets none wait.
+    brittle: int | None = None
+    #: What it says instead.
+    brittle_text: bytes | None = None
+    slots: int = 8
+    running: int = 0
+    #: When it turned requests away for want of room, in seconds since the boot.
+    turned_away_at: list[float] = field(default_factory=list)
     #: What it asks for where it turns requests away, in seconds.
     back_off_seconds: float | None = None
     #: Requests with one of these bodies crash it.
@@ -85,6 +94,11 @@
         if self.limit is not None and isinstance(answer, OpaqueResponse):
             named = (b'server-limit', b'%g' % self.limit)
             answer.lines = (*answer.lines, named)
+        text = self.brittle_text
+        if self.brittle is not None:
+            text = b'%d' % self.brittle
+        if text is not None and isinstance(answer, OpaqueResponse):
+            answer.lines = (*answer.lines, (b'server-brittle', text))
         return answer
 
     async def answer_kind(self, request: Request) -> Any:
@@ -114,12 +128,33 @@
             self.crashed_at.append(boot_seconds())
             await self.crash(self.identity)
             await curio.sleep(1000)
+        if self.brittle is not None and self.is_full():
+            await self.turn_away(attempt)
+            return OpaqueResponse(503, (echo, *self.not_run()))
         if fault == 'full':
             return OpaqueResponse(503, (echo, *self.not_run()))
         if request.path.startswith('/stream'):
             await curio.sleep(self.head_seconds)
             return self.stream(headers, attempt, echo, fault)
-        return await self.call(request, attempt, echo, fault)
+        self.running += 1
+        try:
+            return await self.call(request, attempt, echo, fault)
+        finally:
+            self.running -= 1
+
+    def is_full(self) -> bool:
+        return self.running + len(self.runs) >= self.slots
+
+    async def turn_away(self, attempt: str) -> None:
+        """Count a request that has no room, and crash after too many."""
+        now = boot_seconds()
+        self.turned_away_at.append(now)
+        recent = sum(at > now - 1 for at in self.turned_away_at)
+        if self.crash is not None and recent > (self.brittle or 0):
+            self.turned_away_at.clear()
+            self.crashes.append(attempt)
+            self.crashed_at.append(now)
+            await self.crash(self.identity)
 
     def is_crashing(self, request: Request) -> bool:
         """Return whether a request crashes this runner."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -65,6 +65,7 @@
         fleet.hub.findings.trials,
     )
     fleet.place_for_peer = endpoint_selector.place_for_peer
+    fleet.end_place = endpoint_selector.placed.end
     fleet.copy_place_for_peer = endpoint_selector.place_copy
     instruments = create_instruments()
     room = WaitingRoom(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
@@ -100,6 +100,7 @@
             return await self.exchange(job, endpoint, attempt)
         finally:
             self.loads.end(load)
+            await self.room.placement.release(job, endpoint.identity)
 
     async def exchange(
         self, job: Job, endpoint: Endpoint, attempt: int
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_registry.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_registry.py
@@ -81,7 +81,14 @@
         """Return the limit that the endpoint names now, None without one."""
         return self.limit.per_second if self.limit else None
 
-    def next_limit(self, per_second: float | None) -> EndpointLimit:
+    @property
+    def is_brittle(self) -> bool:
+        """Return whether the endpoint falls over when it rejects too much."""
+        return self.limit is not None and self.limit.rejections is not None
+
+    def next_limit(
+        self, per_second: float | None, rejections: int | None = None
+    ) -> EndpointLimit:
         """Return the limit that follows the latest one."""
         version = self.limit.version + 1 if self.limit else 1
         record = self.record
@@ -91,6 +98,7 @@
             record.born,
             version,
             None if per_second is None else to_thousandths(per_second),
+            rejections,
         )
 
     def leaving_sign(self) -> LeavingSign:
@@ -188,6 +196,7 @@
             Event.ENDPOINT_LIMITED,
             endpoint=limit.identity,
             limit=limit.per_second,
+            rejections=limit.rejections,
             version=limit.version,
         )
         return True
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_selector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_selector.py
@@ -1,7 +1,7 @@
 """Chooses endpoints for requests, copies and backups by the known load."""
 
 from collections.abc import Callable, Iterator, Set
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from turmericyard_decisions.endpoint_choice import (
@@ -11,6 +11,7 @@
     choose_engine,
     choose_service_endpoint,
 )
+from turmericyard_decisions.placed_requests import PlacedRequests
 from turmericyard_decisions.request_rate import OWN_SHARE, PLACING_SHARE
 from turmericyard_decisions.trials import TrialRegistry
 from turmericyard_http.clock import Clock
@@ -51,6 +52,8 @@
     #: Returns the identities of the endpoints that fail callers in a zone.
     ejected_endpoints: Callable[[str], Set[str]]
     trials: TrialRegistry
+    #: What this node has placed at brittle endpoints, also for others.
+    placed: PlacedRequests = field(default_factory=PlacedRequests)
     random: Random = field(default_factory=Random)
 
     def place(self, job: Job, *, as_hub: bool = False) -> Endpoint | None:
@@ -68,9 +71,12 @@
             candidates = self.candidates(
                 endpoints, request, cold_share, limit_share
             )
-            chosen = self.choose(job.service, request, candidates)
+            chosen = self.choose(
+                job.service, request, candidates, as_hub=as_hub
+            )
             if chosen is not None:
                 self.trials.begin(request.attempt, request.suspects)
+                self.record_place(request, chosen)
                 self.log(job, chosen, len(candidates))
                 return candidates[chosen.identity]
         return None
@@ -80,11 +86,24 @@
         return PLACING_SHARE if as_hub else OWN_SHARE / self.fleet_size()
 
     def has_limits(self, service: str) -> bool:
-        """Return whether an endpoint of a service names a limit."""
+        """Return whether an endpoint of a service names a limit or is brittle."""
         if not self.platform_state.registry.limits:
             return False
         return any(
-            endpoint.requests_per_second is not None
+            endpoint.requests_per_second is not None or endpoint.is_brittle
+            for endpoint in self.platform_state.usable_endpoints(service)
+        )
+
+    def is_brittle(self, service: str) -> bool:
+        """Return whether an endpoint of a service is brittle.
+
+        The endpoints of a service are brittle together, and one that has just
+        started has not said so yet.
+        """
+        if not self.platform_state.registry.limits:
+            return False
+        return any(
+            endpoint.is_brittle
             for endpoint in self.platform_state.usable_endpoints(service)
         )
 
@@ -133,9 +152,10 @@
             candidates = self.candidates(
                 endpoints, request, HUB_SHARE, PLACING_SHARE
             )
-            chosen = self.choose(service, request, candidates)
+            chosen = self.choose(service, request, candidates, as_hub=True)
             if chosen is not None:
                 self.trials.begin(request.attempt, request.suspects)
+                self.record_place(request, chosen)
                 return candidates[chosen.identity]
         return None
 
@@ -155,9 +175,16 @@
         service: Service,
         request: PlaceRequest,
         candidates: dict[str, Endpoint],
+        *,
+        as_hub: bool,
     ) -> CandidateLoad | None:
         """Return the load of the best candidate, None when none has room."""
         candidate_loads = self.candidate_loads(service, candidates)
+        if service.engine is None and self.is_brittle(service.name):
+            candidate_loads = [
+                self.brittle_load(load, as_hub=as_hub)
+                for load in candidate_loads
+            ]
         if service.engine is None:
             return choose_service_endpoint(
                 candidate_loads, request.zone, self.random
@@ -166,6 +193,26 @@
             candidate_loads, request.tokens, request.zone, self.random
         )
 
+    def brittle_load(
+        self, load: CandidateLoad, *, as_hub: bool
+    ) -> CandidateLoad:
+        """Return the load of a brittle endpoint, which must reject nothing.
+
+        A hub may use all of its slots, a node without a hub an equal part.
+        """
+        slots = load.slots
+        if not as_hub:
+            slots = max(1, slots // self.fleet_size())
+        placed = self.placed.count(load.identity, self.clock())
+        return replace(load, running=placed, slots=slots)
+
+    def record_place(
+        self, request: PlaceRequest, chosen: CandidateLoad
+    ) -> None:
+        """Count a request at a brittle endpoint until it is released."""
+        if self.is_brittle(request.service):
+            self.placed.begin(chosen.identity, request.attempt, self.clock())
+
     def log(self, job: Job, chosen: CandidateLoad, candidates: int) -> None:
         """Log the load figures behind a placement made by this node."""
         log_event(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/findings.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/findings.py
@@ -98,22 +98,26 @@
             await self.request_delivery()
 
     async def report_limit(
-        self, endpoint: Endpoint, per_second: float | None
+        self,
+        endpoint: Endpoint,
+        per_second: float | None,
+        rejections: int | None = None,
     ) -> None:
         """Record the limit in an endpoint's answer, and inform the hubs of news.
 
         An answer that was given before the limit may arrive after others. A
         limit is therefore raised or ended only some time after it was named.
         """
-        known = endpoint.requests_per_second
-        limit = endpoint.next_limit(per_second)
-        named = limit.per_second
+        limit = endpoint.next_limit(per_second, rejections)
+        known = endpoint.limit or endpoint.next_limit(None)
         now = self.platform_state.clock()
-        if named == known:
+        if limit.rank()[1:] == known.rank()[1:]:
             endpoint.limit_named_at = now
             return
-        lower = named is not None and (known is None or named < known)
-        if not lower and now < endpoint.limit_named_at + LIMIT_HOLD_SECONDS:
+        if (
+            not limit.is_stricter(known)
+            and now < endpoint.limit_named_at + LIMIT_HOLD_SECONDS
+        ):
             return
         endpoint.limit_named_at = now
         if self.platform_state.observe_limit(limit):
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -40,6 +40,7 @@
     EndpointUse,
     FleetBeat,
     HubUpdate,
+    PlaceEnd,
     PlaceReply,
     PlaceRequest,
     ViewItemsReply,
@@ -73,6 +74,7 @@
     is_ready: Callable[[], bool]
     #: Choose places for generations and copies of other nodes.
     place_for_peer: Callable[[PlaceRequest], Endpoint | None] | None = None
+    end_place: Callable[[str, str], None] | None = None
     copy_place_for_peer: (
         Callable[[CopyPlaceRequest], Endpoint | None] | None
     ) = None
@@ -224,10 +226,6 @@
             )
             await self.platform_state.flush()
 
-    async def receive(self, payload: Any, sender: str) -> Any:
-        """Return the reply to a peer's message."""
-        return await self.answer(payload, sender)
-
     @singledispatchmethod
     async def answer(self, payload: Any, sender: str) -> Any:
         """Return the reply to a message; None for unknown ones."""
@@ -278,6 +276,12 @@
         endpoint.request_rate.spend()
         return PlaceReply(endpoint.identity)
 
+    @answer.register
+    async def answer_place_end(self, payload: PlaceEnd, _sender: str) -> None:
+        """Count a placed request no more."""
+        if self.end_place is not None:
+            self.end_place(payload.endpoint, payload.attempt)
+
     @answer.register
     async def answer_copy_place(
         self, payload: CopyPlaceRequest, _sender: str
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
@@ -89,7 +89,7 @@
         TunnelServer(partial(is_served, paths)),
         is_not_ready,
     )
-    mesh.receiver = fleet.receive
+    mesh.receiver = fleet.answer
     paths.relays = partial(find_relays, fleet)
     mesh.serve_tunnel = fleet.tunnels.serve
     return fleet
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
@@ -3,12 +3,13 @@
 Nodes that choose on their own may all choose the same endpoint, since they do
 not know what the others run. When no hub answers, a node chooses by its own
 load alone. Calls of a plain service are placed so only while one of its
-endpoints names a limit for all nodes together.
+endpoints names a limit for all nodes together or is brittle.
 """
 
 from collections.abc import Collection
 from dataclasses import dataclass
 
+import curio
 from returns.result import Success
 
 from turmericyard_http.clock import Clock
@@ -19,6 +20,7 @@
 from turmericyard_node.forwarding.job import Job
 from turmericyard_protocol.fleet_messages import (
     CopyPlaceRequest,
+    PlaceEnd,
     PlaceReply,
     PlaceRequest,
 )
@@ -41,23 +43,23 @@
         if job.service.engine is None and not self.endpoint_selector.has_limits(
             job.service.name
         ):
-            return self.endpoint_selector.place(job)
+            return self.place_alone(job, as_hub=False)
         now = self.clock()
         request = self.endpoint_selector.place_request(job)
         hub, reply = await self.ask_hubs(request)
         if reply is None:
-            return self.endpoint_selector.place(
-                job, as_hub=hub == self.fleet.own.node
-            )
+            return self.place_alone(job, as_hub=hub == self.fleet.own.node)
         if not reply.endpoint:
             return None
+        job.placed_by = hub
         endpoint = self.usable_endpoint(reply)
         if (
             endpoint is None
             or endpoint.evidence.is_ejected(now)
             or endpoint.is_backing_off(now)
         ):
-            return self.endpoint_selector.place(job)
+            await self.release(job, reply.endpoint)
+            return self.place_alone(job, as_hub=False)
         log_event(
             Event.REQUEST_PLACED,
             attempt=job.attempt,
@@ -68,6 +70,21 @@
         )
         return endpoint
 
+    def place_alone(self, job: Job, *, as_hub: bool) -> Endpoint | None:
+        """Return the endpoint that this node chooses for a request."""
+        job.placed_by = self.fleet.own.node
+        return self.endpoint_selector.place(job, as_hub=as_hub)
+
+    async def release(self, job: Job, identity: str) -> None:
+        """Tell the hub that placed a call at a brittle endpoint that it ended."""
+        hub = job.placed_by
+        job.placed_by = ''
+        if hub == self.fleet.own.node:
+            self.endpoint_selector.placed.end(identity, job.attempt)
+        elif hub and self.endpoint_selector.is_brittle(job.service.name):
+            async with curio.ignore_after(HUB_TIMEOUT_SECONDS):
+                await self.fleet.mesh.send(hub, PlaceEnd(identity, job.attempt))
+
     async def place_copy(
         self,
         job: Job,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -185,7 +185,7 @@
                 seconds=report.back_off_seconds,
             )
         await self.fleet.hub.findings.report_limit(
-            endpoint, report.requests_per_second
+            endpoint, report.requests_per_second, report.rejections_per_second
         )
         if report.leaving:
             await self.fleet.hub.findings.report_leaving(endpoint)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
@@ -191,15 +191,29 @@
             self.waiter_added.clear()
             while self.waiters:
                 await curio.sleep(POLL_SECONDS)
-                for waiter in tuple(self.waiters):
-                    await self.try_place(waiter)
-
-    async def try_place(self, waiter: Waiter) -> None:
-        """Place a waiting request if an endpoint has room."""
+                await self.place_waiters()
+
+    async def place_waiters(self) -> None:
+        """Place waiting requests, those of plain services while there is room."""
+        full: set[str] = set()
+        for waiter in tuple(self.waiters):
+            service = waiter.job.service
+            if service.name in full:
+                continue
+            placed = await self.try_place(waiter)
+            if not placed and service.engine is None:
+                full.add(service.name)
+
+    async def try_place(self, waiter: Waiter) -> bool:
+        """Place a waiting request; return whether an endpoint had room."""
         endpoint = await self.placement.place(waiter.job)
-        if endpoint is None or waiter not in self.waiters:
-            return
+        if endpoint is None:
+            return False
+        if waiter not in self.waiters:
+            await self.placement.release(waiter.job, endpoint.identity)
+            return True
         self.record_placement(waiter.job)
         self.waiters.remove(waiter)
         waiter.endpoint = endpoint
         await waiter.placed.set()
+        return True
--- a/packages/turmericyard-ports/src/turmericyard_ports/request.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/request.py
@@ -89,9 +89,11 @@
 
     `back_off_seconds` is the time for which it asks this node to send no
     requests, None where it does not ask. `requests_per_second` is the limit
-    that it names for all nodes together, None where it names none.
+    that it names for all nodes together, `rejections_per_second` the number of
+    requests that it can reject in a second and go on; None where it names none.
     """
 
     leaving: bool = False
     back_off_seconds: float | None = None
     requests_per_second: float | None = None
+    rejections_per_second: int | None = None
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -52,12 +52,13 @@
 
 
 class EndpointLimit(Message, frozen=True):
-    """Requests a second that an endpoint takes from all nodes together.
+    """What an endpoint takes from all nodes together.
 
     `address` and `born` distinguish this start of the endpoint from others with
     the same identity. `thousandths` is the limit in thousandths of a request a
-    second, None when the endpoint names no limit any more. `version` increases
-    with each change that a node observes.
+    second, None when the endpoint names no limit any more. `rejections` is how
+    many requests a second it can reject and go on, None when it does not say
+    so. `version` increases with each change that a node observes.
     """
 
     identity: str
@@ -65,6 +66,7 @@
     born: int | None
     version: int
     thousandths: int | None
+    rejections: int | None = None
 
     @property
     def per_second(self) -> float | None:
@@ -82,10 +84,17 @@
         """Return whether this is newer; the lower limit wins in a tie."""
         return self.rank() > other.rank()
 
-    def rank(self) -> tuple[int, float]:
+    def rank(self) -> tuple[int, float, float]:
         """Return the sort key by which the newer of two limits is higher."""
         limit = math.inf if self.thousandths is None else self.thousandths
-        return (self.version, -limit)
+        rejections = math.inf if self.rejections is None else self.rejections
+        return (self.version, -limit, -rejections)
+
+    def is_stricter(self, other: 'EndpointLimit') -> bool:
+        """Return whether an endpoint takes less by this limit in any way."""
+        _, limit, rejections = self.rank()
+        _, other_limit, other_rejections = other.rank()
+        return limit > other_limit or rejections > other_rejections
 
 
 class StrikeReport(Message, frozen=True):
@@ -219,6 +228,13 @@
     avoided: tuple[str, ...]
 
 
+class PlaceEnd(Message, frozen=True):
+    """Tells a hub that a request that it placed at an endpoint has ended."""
+
+    endpoint: str
+    attempt: str
+
+
 class PlaceReply(Message, frozen=True):
     """The chosen endpoint; empty when none has capacity."""
 
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/message_types.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/message_types.py
@@ -41,6 +41,7 @@
     44: fleet_messages.PlaceRequest,
     45: fleet_messages.PlaceReply,
     46: fleet_messages.CopyPlaceRequest,
+    47: fleet_messages.PlaceEnd,
     50: tunnel_messages.TunnelOpen,
     51: tunnel_messages.TunnelReply,
     52: tunnel_messages.TunnelData,
