--- a/features/forwarding/cut_off.feature
+++ b/features/forwarding/cut_off.feature
@@ -52,6 +52,16 @@
     When a node with an open stream is cut off from all endpoints (refuse)
     Then the stream is whole after one run
 
+  Scenario Outline: Calls that arrive together at a node that is cut off are all served (<form>)
+    Given a world with 4 plain endpoints and 3 nodes
+    When 30 calls arrive at the same time at a node that is cut off (<form>)
+    Then each call was served
+
+    Examples:
+      | form   |
+      | hang   |
+      | refuse |
+
   Scenario: A node sends directly again after the cut
     Given a world with 4 plain endpoints and 4 nodes
     When a node is cut off for 2 seconds and back for 3 seconds
--- a/features/steps/forwarding_cut_off_steps.py
+++ b/features/steps/forwarding_cut_off_steps.py
@@ -228,6 +228,22 @@
     assert len(context.ran) == 1, context.ran
 
 
+@when(
+    '{count:d} calls arrive at the same time at a node that is cut off ({form})'
+)
+def step_together(context: Context, count: int, form: str) -> None:
+    async def scenario(world: World) -> None:
+        await watch_all(world)['n-2'].cut(form)
+        tasks = [
+            await curio.spawn(world.ask, 'n-2', '/read/a', f'at-{number}')
+            for number in range(count)
+        ]
+        answers = [await task.join() for task in tasks]
+        context.answers = [answer.status for answer in answers]
+
+    run(context, scenario)
+
+
 @when('a node is cut off for 2 seconds and back for 3 seconds')
 def step_back(context: Context) -> None:
     async def scenario(world: World) -> None:
