Close a peer's connection to an endpoint that falls silent

A peer connected for another node without a user timeout, so that a tunnel to an endpoint that went dark stayed open until the other node gave up. It now ends 2 s after the last acknowledgement, as direct connections do.

--- a/packages/turmericyard-node/src/turmericyard_node/peers/tunnel.py
+++ b/packages/turmericyard-node/src/turmericyard_node/peers/tunnel.py
@@ -34,6 +34,8 @@
 MAX_TUNNELS = 256
 #: Time limit for connecting to an endpoint for a peer, in seconds.
 CONNECT_SECONDS = 0.08
+#: Time for which bytes to an endpoint may stay unacknowledged, in seconds.
+USER_TIMEOUT_SECONDS = 2.0
 
 
 @dataclass(slots=True)
@@ -162,7 +164,7 @@
         """Connect to the endpoint and forward both ways."""
         try:
             async with curio.timeout_after(CONNECT_SECONDS):
-                connection = await self.dial(address, 0)
+                connection = await self.dial(address, USER_TIMEOUT_SECONDS)
         except ConnectionRefusedError:
             await reply(channel, TunnelFailure.REFUSED)
             return
