Find examples of outlines among the known red by their names

behave ends the name of an example with a blank, which the list cannot have, so that a listed example counted as failed. The new scenario of ci_summary.feature failed before and passes now.

--- a/features/steps/tools_ci_summary_steps.py
+++ b/features/steps/tools_ci_summary_steps.py
@@ -59,6 +59,12 @@
     path.write_text(json.dumps(report(seconds)))
 
 
+@given('its name ends with a blank')
+def step_blank(context: Context) -> None:
+    path = context.launcher.directory / 'behave.json'
+    path.write_text(path.read_text().replace(NAME, f'{NAME} '))
+
+
 @given('it is listed as known red')
 def step_known(context: Context) -> None:
     path = context.launcher.directory / 'known.txt'
--- a/features/tools/ci_summary.feature
+++ b/features/tools/ci_summary.feature
@@ -19,6 +19,14 @@
     And its last line is "1 passed, 0 failed"
     And its exit status is 0
 
+  Scenario: An example of an outline is known red by its name without the blank at its end
+    Given a report with a scenario that failed after 2.5 seconds
+    And its name ends with a blank
+    And it is listed as known red
+    When the summary is printed
+    Then it has the line "known red: A thing works"
+    And its last line is "1 passed, 0 failed"
+
   Scenario: The logs are limited in length, with an equal share for each scenario
     Given a report with a scenario that failed after 2.5 seconds
     And 40 failed scenarios with 3 logs of 9000 characters each
--- a/tools/ci_summary.py
+++ b/tools/ci_summary.py
@@ -91,7 +91,7 @@
         else ''
     )
     return Outcome(
-        element['name'],
+        element['name'].strip(),
         element.get('status', 'untested'),
         element.get('location', ''),
         sum(step['result'].get('duration', 0) for step in finished_steps),
