--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,8 @@
-"""A stream without the runner's seal is passed on as a success."""
+"""A failure answer of an engine whose body does not end is never given up."""
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parents[1] / 'standins'))
@@ -10,22 +11,27 @@
     SEAL,
     Fleet,
     Runner,
-    answer_call,
     answer_stream,
     ask,
-    begin_events,
-    end_events,
+    encode_head,
     main,
     manifest,
     send,
-    send_event,
 )
 
-MACHINES = 3
 RUNNERS = 4
-REQUESTS = 80
-#: One in so many answers of the faulty runners is none.
-SPOILT = 20
+MACHINES = 3
+REQUESTS = 160
+PAUSE_SECONDS = 0.1
+#: Runners that spoil answers, and one in how many.
+FAULTY = 2
+SPOILT = 5
+#: The route's `timeoutMs`, and how long the clients wait, in seconds.
+TIMEOUT_SECONDS = 6.0
+CLIENT_SECONDS = 12.0
+#: Time after `timeoutMs` at which an answer is missing by the rule, in seconds.
+SLACK_SECONDS = 0.5
+EIGHT = 8
 
 
 async def run(case):
@@ -37,69 +43,72 @@
 
 
 async def play(fleet):
-    spoilt = set()
-
-    def is_spoilt(runner):
-        return fleet.trouble and len(runner.arrivals) % SPOILT == 1
-
-    async def stream(runner, request, attempt, reader, writer):
-        if not is_spoilt(runner):
+    async def fail(runner, request, attempt, reader, writer):
+        """Fail some requests; the body comes without end, in trouble."""
+        if len(runner.arrivals) % SPOILT:
             return await answer_stream(runner, request, attempt, reader, writer)
-        spoilt.add(attempt)
-        await begin_events(writer, attempt, sealed=False)
-        for number in range(1, 4):
-            await send_event(writer, 'bytes-of-nobody', number)
-        await end_events(writer)
-        return True
-
-    async def call(runner, request, attempt, reader, writer):
-        if not is_spoilt(runner):
-            return await answer_call(runner, request, attempt, reader, writer)
-        spoilt.add(attempt)
-        echo = ('X-Turmericyard-Attempt-Id', attempt)
-        await send(writer, 200, [echo], b'bytes of nobody')
-        return True
-
-    kinds = [stream, stream, answer_stream, answer_stream]
-    engines = [
+        headers = [('X-Turmericyard-Attempt-Id', attempt), SEAL]
+        if not fleet.trouble:
+            await send(writer, 500, headers, b'x' * 100)
+            return True
+        head = encode_head(500, [*headers, ('Transfer-Encoding', 'chunked')])
+        writer.write(head)
+        while True:
+            writer.write(b'1\r\nx\r\n')
+            await writer.drain()
+            await asyncio.sleep(0.5)
+
+    kinds = [fail] * FAULTY + [answer_stream] * (RUNNERS - FAULTY)
+    runners = [
         Runner(fleet, number, 'turmeric-pool', kind, slots=64)
         for number, kind in enumerate(kinds)
     ]
-    kinds = [call, call, answer_call, answer_call]
-    services = [
-        Runner(fleet, number + RUNNERS, 'yard-ledger', kind)
-        for number, kind in enumerate(kinds)
-    ]
     await fleet.open(manifest())
-    for runner in (*engines, *services):
+    for runner in runners:
         await runner.open()
     await asyncio.sleep(4)
-    broken = 0
-    for number in range(REQUESTS):
-        path = ('/donor/', '/crush/')[number % 2]
-        broken += await send_request(fleet, number, f'{path}{number}', spoilt)
-    fleet.note(
-        f'{len(spoilt)} answers of runners had no seal; '
-        f'{broken} clients got a success without one'
+    answers = await asyncio.gather(
+        *(send_request(fleet, number) for number in range(REQUESTS))
     )
-    return broken > 0
+    return judge(fleet, answers)
 
 
-async def send_request(fleet, number, path, spoilt):
-    """Send a request; return whether its client got an unsealed success."""
-    tokens = (500, 20) if path.startswith('/donor/') else None
-    attempt, headers = fleet.request_headers(6000, tokens)
+async def send_request(fleet, number):
+    """Send a generation; return when its answer ended, None if it did not."""
+    await asyncio.sleep(number * PAUSE_SECONDS)
+    attempt, headers = fleet.request_headers(
+        int(CLIENT_SECONDS * 1000), (500, 20)
+    )
     node = fleet.nodes[number % MACHINES]
-    answer = await ask(node.front, 'POST', path, headers, b'{}', 6)
-    sealed = SEAL[0].lower() in answer.headers
-    broken = 200 <= answer.status < 300 and not sealed
-    if attempt in spoilt or broken:
-        fleet.note(
-            f'{path} {attempt}: the runner sent a 200 without a seal; the '
-            f'client got {answer.status}, {"sealed" if sealed else "no seal"}, '
-            f'{"whole" if answer.whole else "broken off"}: {answer.body[:50]}'
-        )
-    return broken
+    began = time.monotonic()
+    answer = await ask(
+        node.front, 'POST', f'/donor/{number}', headers, b'{}', CLIENT_SECONDS
+    )
+    seconds = time.monotonic() - began
+    gave_up = answer.error == 'TimeoutError'
+    fleet.note(
+        f'{attempt} at {node.name}: status {answer.status}, '
+        f'{answer.error or "whole"}, after {seconds:.2f} s'
+    )
+    return None if gave_up else seconds
+
+
+def judge(fleet, answers):
+    unanswered = [
+        each for each in answers if each is None or each > TIMEOUT_SECONDS
+    ]
+    late = [
+        each
+        for each in unanswered
+        if each is None or each > TIMEOUT_SECONDS + SLACK_SECONDS
+    ]
+    never = sum(each is None for each in answers)
+    fleet.note(
+        f'{len(unanswered)} of {len(answers)} requests were unanswered at the '
+        f"route's timeoutMs, {len(late)} of them still {SLACK_SECONDS} s "
+        f'later; {never} had no answer when their clients gave up'
+    )
+    return len(late) >= EIGHT and len(late) > len(unanswered) / 2
 
 
 main(__file__, run)
