Count crashes of endpoints until an answer is complete

Callers saw a request that crashes engines after its first event sent on without end: streams of others at the same engines broke off each time.

Cause: a broken answer was a sign of a crash only before its first event, and that event cleared the strikes of the parts of its prompt. The body of a failure that breaks off was not counted either.

Now a broken answer counts against the request until the answer is complete, and against the parts of its prompt until the run is established (events for 0.5 s from one endpoint). Breaks that turn out to be no crash are not held against a long stream. No message changes its fields: the strikes are those that nodes share already.

--- a/features/forwarding/crashes.feature
+++ b/features/forwarding/crashes.feature
@@ -7,6 +7,23 @@
     And its last answers are refusals with a time to retry
     And requests with other bodies are served by every node
 
+  # Guards against crashes that do not count since the answer had begun.
+  Scenario Outline: A request that crashes endpoints after its answer began is refused
+    Given a world with <engines> and 3 nodes
+    When a client sends a stream that crashes endpoints <moment> 10 times to all nodes in turn
+    Then 3 endpoints crashed
+    And its last answers are refusals with a time to retry
+    And streams with other bodies are served by every node
+
+    Examples:
+      | engines                     | moment                       |
+      | 6 engines                   | after 1 events               |
+      | 6 engines                   | after 4 events               |
+      | 6 engines                   | after 30 events              |
+      | 6 engines that keep backups | after 1 events               |
+      | 6 engines that keep backups | after 30 events              |
+      | 6 engines                   | inside the body of a failure |
+
   Scenario: Repeats of an idempotent request count as well
     Given a world with 6 plain endpoints and 2 nodes
     When a client sends an idempotent request that crashes endpoints 6 times
--- a/features/forwarding/crashing_parts.feature
+++ b/features/forwarding/crashing_parts.feature
@@ -8,6 +8,20 @@
     And the last 6 requests with the part are refused with a time to retry
     And sound prompts with all other parts are served by every node
 
+  # Guards against parts that are cleared by the event before the crash.
+  Scenario Outline: Parts that crash engines after the answer began are refused
+    Given a world with <engines> and 3 nodes
+    When 12 different prompts with a part that crashes engines after <events> events reach all nodes in turn, each beside a sound prompt
+    Then at most 5 endpoints crashed
+    And the last 6 requests with the part are refused with a time to retry
+    And sound prompts with all other parts are served by every node
+
+    Examples:
+      | engines                     | events |
+      | 6 engines                   | 1      |
+      | 6 engines                   | 10     |
+      | 6 engines that keep backups | 1      |
+
   # Guards against a crashing part whose requests arrive many at a time.
   Scenario: Requests with a struck part are sent one at a time
     Given a world with 6 engines and 3 nodes
--- a/features/steps/forwarding_crashes_steps.py
+++ b/features/steps/forwarding_crashes_steps.py
@@ -11,7 +11,7 @@
 from hypothesis import seed, settings
 from hypothesis import strategies as drawn
 
-from support.fleet.scenario import run
+from support.fleet.scenario import PROMPT, run
 from support.fleet.world import Answer, World
 from turmericyard_decisions.strikes import STRIKE_LIMIT, StrikeRegistry
 
@@ -20,6 +20,7 @@
 #: Time between two attempts of a client, in seconds.
 PAUSE_SECONDS = 0.3
 OTHER_REQUESTS = 12
+STREAM_EVENTS = 40
 
 
 def crash_on_request(world: World) -> None:
@@ -27,14 +28,17 @@
         runner.crashing.add(CRASHING_BODY)
 
 
-async def send_crashing(world: World, target: str, times: int) -> list[Answer]:
+async def send_crashing(
+    world: World, target: str, times: int, **headers: str
+) -> list[Answer]:
     crash_on_request(world)
     answers = []
     nodes = cycle(world.nodes)
     for _ in range(times):
+        attempt = f'at-{uuid4().hex}'
         answers.append(
             await world.ask(
-                next(nodes), target, f'at-{uuid4().hex}', body=CRASHING_BODY
+                next(nodes), target, attempt, body=CRASHING_BODY, **headers
             )
         )
         await curio.sleep(PAUSE_SECONDS)
@@ -72,6 +76,42 @@
     run(context, scenario)
 
 
+@when(
+    'a client sends a stream that crashes endpoints after {events:d} events'
+    ' {times:d} times to all nodes in turn'
+)
+def step_crashing_stream(context: Context, events: int, times: int) -> None:
+    send_crashing_streams(context, times, crash_after_events=events)
+
+
+@when(
+    'a client sends a stream that crashes endpoints inside the body of a'
+    ' failure {times:d} times to all nodes in turn'
+)
+def step_crashing_failure(context: Context, times: int) -> None:
+    send_crashing_streams(context, times, crash_in_failure=True)
+
+
+def send_crashing_streams(
+    context: Context, times: int, **changes: bool | int
+) -> None:
+    async def scenario(world: World) -> None:
+        for runner in world.runners.values():
+            runner.length = STREAM_EVENTS
+            for name, value in changes.items():
+                setattr(runner, name, value)
+        context.answers = await send_crashing(
+            world, '/stream/a', times, **PROMPT
+        )
+        context.crashed = crashed(world)
+        context.others = [
+            await world.ask(node, '/stream/a', f'at-other-{node}', **PROMPT)
+            for node in world.nodes
+        ]
+
+    run(context, scenario)
+
+
 @then('{number:d} endpoints crashed')
 def step_crashed(context: Context, number: int) -> None:
     assert context.crashed == number, (context.crashed, context.answers)
@@ -85,6 +125,7 @@
 
 
 @then('requests with other bodies are served by every node')
+@then('streams with other bodies are served by every node')
 def step_others(context: Context) -> None:
     assert {each.status for each in context.others} == {200}, context.others
 
--- a/features/steps/forwarding_crashing_parts_steps.py
+++ b/features/steps/forwarding_crashing_parts_steps.py
@@ -77,6 +77,19 @@
     run(context, scenario)
 
 
+@when(
+    '{number:d} different prompts with a part that crashes engines after'
+    ' {events:d} events reach all nodes in turn, each beside a sound prompt'
+)
+def step_crashing_late(context: Context, number: int, events: int) -> None:
+    async def scenario(world: World) -> None:
+        for runner in world.runners.values():
+            runner.crash_after_events = events
+        await send_crashing_parts(context, world, number, beside_sound=True)
+
+    run(context, scenario)
+
+
 @when(
     '{number:d} different prompts with a part that crashes engines reach all'
     ' nodes in turn'
--- a/features/steps/forwarding_streams_steps.py
+++ b/features/steps/forwarding_streams_steps.py
@@ -32,6 +32,7 @@
 
 
 @given('a world with {count:d} engines that keep backups and {nodes:d} node')
+@given('a world with {count:d} engines that keep backups and {nodes:d} nodes')
 def step_backups(context: Context, count: int, nodes: int) -> None:
     context.build = partial(build, 'engines', count, nodes, backups=True)
     context.prepare = []
--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -81,6 +81,11 @@
     crashing: set[bytes] = field(default_factory=set)
     #: Requests whose prompt has one of these parts crash it.
     crashing_parts: set[str] = field(default_factory=set)
+    #: Events of such a stream after which it crashes; 0 is before the head. One
+    #: that goes on here crashes it after its next event.
+    crash_after_events: int = 0
+    #: The crash comes inside the body of a failure answer.
+    crash_in_failure: bool = False
     crashes: list[str] = field(default_factory=list)
     #: When each of the crashes was, in seconds since the boot.
     crashed_at: list[float] = field(default_factory=list)
@@ -124,10 +129,12 @@
             return OpaqueResponse(421, (echo,))
         if self.crash is not None and self.is_crashing(request):
             await curio.sleep(self.head_seconds)
-            self.crashes.append(attempt)
-            self.crashed_at.append(boot_seconds())
-            await self.crash(self.identity)
-            await curio.sleep(1000)
+            if self.crash_after_events:
+                return self.stream(headers, attempt, echo, 'crash')
+            if self.crash_in_failure:
+                chunks = self.fail_and_crash(attempt)
+                return OpaqueResponse(500, (echo, SIGNATURE), chunks=chunks)
+            await self.crash_on(attempt)
         if self.brittle is not None and self.is_full():
             await self.turn_away(attempt)
             return OpaqueResponse(503, (echo, *self.not_run()))
@@ -156,6 +163,17 @@
             self.crashed_at.append(now)
             await self.crash(self.identity)
 
+    async def crash_on(self, attempt: str) -> None:
+        self.crashes.append(attempt)
+        self.crashed_at.append(boot_seconds())
+        if self.crash is not None:
+            await self.crash(self.identity)
+        await curio.sleep(1000)
+
+    async def fail_and_crash(self, attempt: str) -> AsyncIterator[bytes]:
+        yield b'a part'
+        await self.crash_on(attempt)
+
     def is_crashing(self, request: Request) -> bool:
         """Return whether a request crashes this runner."""
         prefix = request.headers.get('x-turmericyard-prompt-prefix', '')
@@ -230,8 +248,11 @@
 
     async def events(self, run: Made, fault: str) -> AsyncIterator[bytes]:
         try:
+            crashes_at = run.made + 1 if run.made else self.crash_after_events
             while run.made < run.length:
                 await curio.sleep(self.event_seconds)
+                if fault == 'crash' and run.made == crashes_at:
+                    await self.crash_on(run.attempt)
                 if self.ended:
                     yield b'id: %d\nda' % (run.made + 1)
                     raise ConnectionAbortedError
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
@@ -28,9 +28,13 @@
 
 @dataclass(frozen=True, slots=True)
 class BrokenAnswer:
-    """An answer that broke off, and the strikes when its request was sent."""
+    """An answer that broke off, and the strikes when its request was sent.
 
-    attempt: str
+    `strikes` has those of the parts of its prompt only if they may have crashed
+    the endpoint.
+    """
+
+    job: Job
     strikes: tuple[Strike, ...]
 
     def record(self, registry: StrikeRegistry) -> Iterator[Strike | None]:
@@ -47,7 +51,7 @@
     """Counts strikes against requests and parts of prompts.
 
     `broken` has the broken answers by endpoint. An endpoint whose connections
-    break before it began its answers has crashed when it refuses the next
+    break before its answers are complete has crashed when it refuses the next
     connection.
     """
 
@@ -73,7 +77,7 @@
         """Return whether the request itself has too many strikes."""
         if self.strike_registry.refuses_request(job.mark):
             return True
-        if not job.broken_answers:
+        if not job.unexplained_breaks:
             return False
         return job.strikes_at_send[0].count + 1 >= STRIKE_LIMIT
 
@@ -84,18 +88,18 @@
             for mark in job.part_marks
         ):
             return True
-        return bool(job.broken_answers) and any(
+        return bool(job.unexplained_breaks) and any(
             strike.count + 1 >= PART_STRIKE_LIMIT
             for strike in job.strikes_at_send[1:]
         )
 
-    def may_continue(self, job: Job, *, begun: bool) -> bool:
+    def may_continue(self, job: Job, *, established: bool) -> bool:
         """Return whether a run whose stream broke may go on elsewhere.
 
-        A run that has not `begun` to answer may be what crashed its endpoint.
-        It goes on only if no strike was known when it was sent.
+        A run that was never `established` may be what crashed its endpoint. It
+        goes on only if no strike was known when it was sent.
         """
-        if begun:
+        if established:
             return not self.refuses_request(job)
         struck = any(strike.count for strike in job.strikes_at_send)
         return not struck and not self.refuses(job)
@@ -116,12 +120,12 @@
         """
         known = map(self.strike_registry.known, job.marks)
         job.strikes_at_send = tuple(
-            replace(each, count=max(each.count, job.broken_answers))
+            replace(each, count=max(each.count, job.unexplained_breaks))
             for each in known
         )
 
-    async def record_beginning(self, job: Job) -> None:
-        """Clear the strikes against the parts of a prompt that is answered."""
+    async def record_established(self, job: Job) -> None:
+        """Clear the strikes against the parts of an established run."""
         await self.clear(job.part_marks)
 
     async def record_completion(self, job: Job) -> None:
@@ -135,15 +139,20 @@
         if found:
             await self.findings.report_strikes(found)
 
-    async def record_broken_answer(self, job: Job, endpoint: Endpoint) -> None:
+    async def record_broken_answer(
+        self, job: Job, endpoint: Endpoint, *, established: bool = False
+    ) -> None:
         """Start to check whether the endpoint of a broken answer has crashed.
 
+        A crash after its run was `established` counts against the request only.
         An endpoint that announced its leaving is expected to stop.
         """
         if endpoint.leaving_since is not None:
             return
-        job.broken_answers += 1
-        broken_answer = BrokenAnswer(job.attempt, job.strikes_at_send)
+        job.unexplained_breaks += 1
+        request, *parts = job.strikes_at_send
+        suspects = () if established else parts
+        broken_answer = BrokenAnswer(job, (request, *suspects))
         broken_off = self.broken.get(endpoint.identity)
         if broken_off is not None:
             broken_off.append(broken_answer)
@@ -156,6 +165,8 @@
         await curio.sleep(GATHER_SECONDS)
         refused = await self.is_refused(endpoint.record.address)
         broken_off = self.broken.pop(endpoint.identity)
+        for broken_answer in broken_off:
+            broken_answer.job.unexplained_breaks -= 1
         if not refused:
             return
         struck = dict.fromkeys(
@@ -166,7 +177,7 @@
             endpoint=endpoint.identity,
             requests=len(broken_off),
             strikes=max(strike.count for strike in struck) + 1,
-            attempts=[each.attempt for each in broken_off],
+            attempts=[each.job.attempt for each in broken_off],
             marks=[strike.mark.hex() for strike in struck],
         )
         await self.findings.report_strikes(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
@@ -39,8 +39,8 @@
     send_count: int = 0
     #: The node that placed it last, for itself or as a hub.
     placed_by: str = ''
-    #: How many of its answers broke off.
-    broken_answers: int = 0
+    #: Its broken answers of which it is not known whether the endpoint crashed.
+    unexplained_breaks: int = 0
     #: The strikes against its marks when it was sent last.
     strikes_at_send: tuple[Strike, ...] = ()
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
@@ -12,6 +12,9 @@
 #: Share of a run's remaining output that is added to its memory forecast: the
 #: runs of an endpoint do not all reach their full length at the same time.
 REMAINING_MEMORY_SHARE = 0.5
+#: Time from the first to a later event of an endpoint after which the prompt of
+#: a run is not what crashes it, in seconds.
+ESTABLISHED_SECONDS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,8 +51,10 @@
     last_event_at: float = 0
     #: When the last complete event arrived or the current response began.
     last_progress_at: float = 0
-    #: Whether the current endpoint has sent events of it.
-    has_events_here: bool = False
+    #: When the current endpoint sent its first event, 0 before.
+    first_event_here_at: float = 0
+    #: Whether it was established at the current or an earlier endpoint.
+    was_established: bool = False
     longest_gap: float = 0
     longest_gap_at: float = 0
 
@@ -81,6 +86,13 @@
         """Return whether another endpoint has a copy or backup of the run."""
         return self.copy is not None or self.has_backup()
 
+    def is_established_here(self) -> bool:
+        """Return whether the current endpoint has answered for some time."""
+        if not self.first_event_here_at:
+            return False
+        answered_for = self.last_event_at - self.first_event_here_at
+        return answered_for >= ESTABLISHED_SECONDS
+
     def record_events(self, now: float) -> None:
         """Record complete events that arrived, and the longest gap."""
         self.first_event_at = self.first_event_at or now
@@ -90,7 +102,8 @@
             self.longest_gap_at = now
         self.last_event_at = now
         self.last_progress_at = now
-        self.has_events_here = True
+        self.first_event_here_at = self.first_event_here_at or now
+        self.was_established |= self.is_established_here()
         self.update_load()
 
     def first_seconds(self) -> float | None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
@@ -35,8 +35,9 @@
         await run.response.close()
         if run.job.seconds_left(self.clock()) <= 0:
             return False
-        begun = run.event_joiner.delivered > 0
-        if not self.sender.crashes.may_continue(run.job, begun=begun):
+        if not self.sender.crashes.may_continue(
+            run.job, established=run.was_established
+        ):
             return False
         for endpoint, copied in self.continuations(run):
             if not self.placement.endpoint_selector.platform_state.may_continue_run(
@@ -127,7 +128,7 @@
         run.copy = None
         run.moves += 1
         run.last_progress_at = self.clock()
-        run.has_events_here = False
+        run.first_event_here_at = 0
         run.event_joiner.restart()
         run.update_load()
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -105,10 +105,13 @@
             if not started:
                 self.loads.end(load)
                 self.loads.end(backup_load)
-        return await self.answer_without_stream(response)
+        return await self.answer_without_stream(job, endpoint, response)
 
     async def answer_without_stream(
-        self, outcome: EndpointResponse | NotRun | MayHaveRun
+        self,
+        job: Job,
+        endpoint: Endpoint,
+        outcome: EndpointResponse | NotRun | MayHaveRun,
     ) -> Answer | NotRun:
         """Return the answer of an endpoint that opened no stream."""
         if isinstance(outcome, NotRun):
@@ -119,6 +122,8 @@
         try:
             body = await outcome.read_all()
         except STREAM_ERRORS as error:
+            if isinstance(error, DISCONNECTS):
+                await self.sender.crashes.record_broken_answer(job, endpoint)
             return self.platform_adapter.refusal(BAD_GATEWAY, repr(error))
         finally:
             await outcome.close()
@@ -178,13 +183,12 @@
                     raise ConnectionAbortedError(repr(error)) from error
 
     async def record_disconnect(self, run: Run, error: Exception) -> None:
-        """Report a connection that broke before the endpoint sent an event.
-
-        The endpoint may have crashed.
-        """
-        if isinstance(error, DISCONNECTS) and not run.has_events_here:
+        """Report a connection that broke: its endpoint may have crashed."""
+        if isinstance(error, DISCONNECTS):
             await self.sender.crashes.record_broken_answer(
-                run.job, run.current_endpoint
+                run.job,
+                run.current_endpoint,
+                established=run.is_established_here(),
             )
 
     async def end(self, run: Run, outcome: str, started_at: float) -> None:
@@ -222,10 +226,10 @@
         if data:
             events = run.event_joiner.feed(data)
             if events:
-                begins = not run.has_events_here
+                was_established = run.is_established_here()
                 run.record_events(self.clock())
-                if begins:
-                    await self.sender.crashes.record_beginning(run.job)
+                if run.is_established_here() and not was_established:
+                    await self.sender.crashes.record_established(run.job)
             return events
         if run.event_joiner.is_inside_event():
             raise EOFError('the stream ended inside an event')
