Give up failures of engines that do not end

Callers of a streaming route got no status, no byte and no closed connection when an engine answered with a failure whose body did not end: neither at the route's timeout nor later.

Cause: answer_without_stream read the body outside of any time limit. Ruled out: heads and interim answers without end (within the time of the exchange), streams (time of the next event), plain calls (time of the attempt), each with an example in endless.feature that held before.

Now a failure has to be complete within SILENCE_SECONDS and before the deadline; then the answer is 504 and the connection is closed. No message between nodes changes.

--- a/features/steps/forwarding_endless_steps.py
+++ b/features/steps/forwarding_endless_steps.py
@@ -25,10 +25,24 @@
     prepare_endless(context, 'engines', what)
 
 
-def prepare_endless(context: Context, service: str, what: str) -> None:
+@given(
+    'a world whose {endpoint} sends {what} without end, and routes with a'
+    ' timeout of {seconds:d} seconds'
+)
+def step_timeout(
+    context: Context, endpoint: str, what: str, seconds: int
+) -> None:
+    service = 'engines' if endpoint == 'engine' else 'plain'
+    prepare_endless(context, service, what, seconds * 1000)
+    context.afterwards = count_sent
+
+
+def prepare_endless(
+    context: Context, service: str, what: str, timeout_ms: int = LONG_MS
+) -> None:
     async def with_endless(world: World) -> None:
         routes = [
-            {**route, 'timeoutMs': LONG_MS} for route in manifest()['routes']
+            {**route, 'timeoutMs': timeout_ms} for route in manifest()['routes']
         ]
         world.store.put('op/config', manifest(2, routes=routes))
         await build(service, 1, 1, world)
@@ -56,11 +70,15 @@
     return endpoints[identity].record.address if identity in endpoints else ''
 
 
-async def send_other_request(context: Context) -> None:
-    """Replace the endpoint by one that works and send another request."""
+async def count_sent(context: Context) -> None:
     await curio.sleep(0.3)
     context.sent = context.endless.sent
     context.closed = context.endless.closed
+
+
+async def send_other_request(context: Context) -> None:
+    """Replace the endpoint by one that works and send another request."""
+    await count_sent(context)
     world = context.world
     world.runners['i-0'].address = context.working_address
     world.register('i-0', 'plain', born=2)
@@ -83,6 +101,25 @@
     run(context, scenario)
 
 
+@when('a client that waits for {seconds:d} seconds makes a {kind}')
+def step_patient(context: Context, seconds: int, kind: str) -> None:
+    async def scenario(world: World) -> None:
+        context.answer = None
+        deadline_ms = seconds * 1000
+        async with curio.ignore_after(seconds):
+            context.answer = await world.ask(
+                'n-0', f'/{kind}/a', 'at-0', deadline_ms=deadline_ms, **PROMPT
+            )
+
+    run(context, scenario)
+
+
+@then('its answer or its connection ended at most {seconds:g} seconds later')
+def step_ended(context: Context, seconds: float) -> None:
+    assert context.answer is not None, 'the client gave up'
+    assert context.answer.seconds <= seconds, context.answer
+
+
 @when('a client asks for a stream of 3 events, one each 2.5 seconds')
 def step_slow(context: Context) -> None:
     async def scenario(world: World) -> None:
--- a/features/support/fleet/endless.py
+++ b/features/support/fleet/endless.py
@@ -13,6 +13,8 @@
     b'x-turmericyard-attempt-id: at-%d\r\nx-turmericyard-response-seal: s\r\n'
 )
 CHUNKED = b'transfer-encoding: chunked\r\n\r\n'
+FAILURE = b'HTTP/1.1 500 Failed\r\n' + ECHO % 0
+STREAM = HEAD + ECHO % 0 + b'content-type: text/event-stream\r\n' + CHUNKED
 PIECE = b'a' * 8192
 PIECE_CHUNK = b'2000\r\n' + PIECE + b'\r\n'
 #: Time between two bytes of an endpoint that drips, in seconds.
@@ -37,6 +39,21 @@
         + b'6\r\nid: 1\n\r\n',
         PIECE_CHUNK,
     ),
+    'a failure in chunks': (FAILURE + CHUNKED, PIECE_CHUNK),
+    'a failure in chunks, byte by byte': (FAILURE + CHUNKED, b'1\r\na\r\n'),
+    'a failure with a length, byte by byte': (
+        FAILURE + b'content-length: 99999999999\r\n\r\n',
+        b'a',
+    ),
+    'a failure until its end, byte by byte': (FAILURE + b'\r\n', b'a'),
+    'a failure with trailers, byte by byte': (
+        FAILURE + CHUNKED + b'0\r\nx: ',
+        b'a',
+    ),
+    'a head, byte by byte': (HEAD + b'x: ', b'a'),
+    'a body, byte by byte': (HEAD + ECHO % 0 + CHUNKED, b'1\r\na\r\n'),
+    'a stream of events': (STREAM, b'6\r\n: a\n\n\r\n'),
+    'a flood of events': (STREAM, b'6\r\n: a\n\n\r\n' * 1000),
     'an event, byte by byte': (
         HEAD
         + ECHO % 0
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -26,6 +26,7 @@
 
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
 #: Retry-after time, in seconds, of a request that was rejected by every endpoint
 #: to which it was sent.
 RETRY_AFTER_SECONDS = 0.5
@@ -33,7 +34,8 @@
 #: refuses it with a retry-after time.
 MAX_REJECTIONS = 3
 #: Time without a complete event after which a stream is continued at another
-#: endpoint, if one can continue it, in seconds.
+#: endpoint, if one can continue it, in seconds. A failure has to be complete
+#: within the same time.
 SILENCE_SECONDS = 5.0
 #: The same for a stream that no other endpoint can continue, as a multiple of
 #: the latency target: clients abandon a stream after a gap of that length.
@@ -119,11 +121,18 @@
         if isinstance(outcome, MayHaveRun):
             return self.platform_adapter.refusal(BAD_GATEWAY, outcome.detail)
         head = outcome.head
+        seconds = min(SILENCE_SECONDS, job.seconds_left(self.clock()))
         try:
-            body = await outcome.read_all()
-        except STREAM_ERRORS as error:
-            if isinstance(error, DISCONNECTS):
-                await self.sender.crashes.record_broken_answer(job, endpoint)
+            async with curio.timeout_after(seconds):
+                body = await outcome.read_all()
+        except curio.TaskTimeout:
+            return self.platform_adapter.refusal(
+                GATEWAY_TIMEOUT,
+                f'the failure of the endpoint, status {head.status}, was not'
+                f' complete after {seconds:.1f} s',
+            )
+        except DISCONNECTS as error:
+            await self.sender.crashes.record_broken_answer(job, endpoint)
             return self.platform_adapter.refusal(BAD_GATEWAY, repr(error))
         finally:
             await outcome.close()
