Take failed calls for an outage of the store only if no reader had answers

Callers' requests reached a plain endpoint up to 9.6 s after the store had acknowledged that it is gone: its record had been removed while the store turned the two hubs away now and then.

Cause: a failed call in the last 1.5 s counted as an outage, in which a missing record may have lapsed; the 2 s for its renewal began anew with each failure, whatever the store answered between. Ruled out: the hubs' updates (all nodes have the removal after 0.2 s) and the placement (the endpoint is usable in each node's registry; its sign is "lapsed", not "removed").

Now a record that was renewed within its lifetime (three check-ins) was removed. One that was not may have lapsed if no reader had an answer for 2.4 s, or if the calls of this node and of all other readers fail. It is gone when the store has answered for 2 s after the outage. No message changes its fields, and the decision needs nothing from a hub of a newer build.

Measured: removed_records.feature on: 21, 12, 21 and 17 requests later than 2 s in four examples, and 4 of 92 calls refused after a silent outage; all 12 scenarios hold now, as do knowledge and restored_store. A form with 1.8 s for 2.4 s and no regard to the calls of this node was red in two examples (both hubs turned away completely; 1 of 2 calls silent), and was dropped.

--- /dev/null
+++ b/features/forwarding/removed_records.feature
@@ -0,0 +1,37 @@
+Feature: Endpoints whose records are removed get no more requests
+
+  # Guards against removals that are put off since some nodes fail to read the store.
+  Scenario Outline: The store turns the hubs away while a record is removed
+    Given a world with 3 plain endpoints and 5 nodes
+    And endpoints that renew their records
+    When the store turns <share> calls of the hubs away (<how>) and a record is removed
+    Then the other nodes send the endpoint nothing later than 2 seconds after that
+
+    Examples:
+      | share         | how    |
+      | 1 of 2        | busy   |
+      | 1 of 2        | many   |
+      | 1 of 2        | reset  |
+      | 1 of 2        | silent |
+      | 2 of 3        | busy   |
+      | 4 of 5        | reset  |
+      | 5 of 5        | busy   |
+      | 5 of 5        | silent |
+
+  Scenario: The store turns one hub away while a record is removed
+    Given a world with 3 plain endpoints and 5 nodes
+    And endpoints that renew their records
+    When the store turns 1 of 2 calls of one hub away (busy) and a record is removed
+    Then the other nodes send the endpoint nothing later than 2 seconds after that
+
+  Scenario Outline: Records that lapse in an outage of <seconds> seconds are renewed after it
+    Given a world with 3 plain endpoints and 5 nodes
+    And endpoints that renew their records
+    When all records lapse in an outage of <seconds> seconds (<how>) and are renewed 1.8 seconds after it
+    Then every call was served
+
+    Examples:
+      | seconds | how    |
+      | 4       | busy   |
+      | 4       | silent |
+      | 6       | reset  |
--- a/features/support/endpoint_book_machine.py
+++ b/features/support/endpoint_book_machine.py
@@ -23,11 +23,15 @@
 
 @dataclass
 class Truth:
-    """What the store said last of an endpoint; `lapsed` in an outage."""
+    """What the store said last of an endpoint; `lapsed` in an outage.
+
+    `renewed_at` is when the store last accepted its record.
+    """
 
     born: int
     leaving: bool = False
     lapsed: bool = False
+    renewed_at: float = float('-inf')
 
 
 class EndpointBookMachine(RuleBasedStateMachine):
@@ -72,6 +76,9 @@
         truth = self.truth.get(identity)
         if truth is not None:
             self.tell(identity, Truth(truth.born, truth.leaving))
+            if not self.trouble:
+                self.truth[identity].renewed_at = self.now
+                self.registry.record_renewal(identity, self.now)
 
     @rule(identity=IDENTITIES)
     def announces_to_leave(self, identity: str) -> None:
@@ -86,7 +93,10 @@
         self.registry.remove(identity, self.now)
         if truth is None:
             return
-        if self.trouble:
+        silent = self.now - truth.renewed_at
+        had_outage = self.registry.answers.had_outage(self.now)
+        may_lapse = silent >= self.registry.lapse_seconds
+        if (self.trouble or had_outage) and may_lapse:
             truth.lapsed = True
         else:
             self.truth.pop(identity)
@@ -96,6 +106,20 @@
         if self.trouble and not fails:
             self.sound_since = self.now
         self.trouble = fails
+        if fails:
+            self.registry.failed_at = self.now
+        else:
+            self.registry.answers.record(self.now)
+
+    @rule(identity=IDENTITIES)
+    def removed_while_calls_fail(self, identity: str) -> None:
+        self.renews(identity)
+        was_failing = self.trouble
+        self.store_changes(fails=True)
+        self.record_goes(identity)
+        if not was_failing:
+            self.store_changes(fails=False)
+            assert identity not in self.registry.endpoints
 
     @rule(identity=IDENTITIES)
     def lapses_and_returns(self, identity: str) -> None:
@@ -108,6 +132,12 @@
     def time_passes(self, beats: int) -> None:
         for _ in range(beats):
             self.now += BEAT_SECONDS
+            if self.trouble:
+                self.registry.failed_at = self.now
+            else:
+                self.registry.answers.record(self.now)
+            if self.registry.answers.had_outage(self.now):
+                self.sound_since = self.now
             self.registry.expire(self.now)
         sound = 0 if self.trouble else self.now - self.sound_since
         if sound >= RENEWAL_SECONDS:
@@ -120,8 +150,7 @@
     @invariant()
     def only_the_right_ones_get_requests(self) -> None:
         usable = {
-            one.identity
-            for one in self.registry.usable_of_service('engines', self.now)
+            one.identity for one in self.registry.usable_of_service('engines')
         }
         certain = {
             identity
@@ -140,8 +169,7 @@
         if not self.trouble:
             return
         usable = {
-            one.identity
-            for one in self.registry.usable_of_service('engines', self.now)
+            one.identity for one in self.registry.usable_of_service('engines')
         }
         lapsed = {
             identity
--- a/features/support/fleet/store.py
+++ b/features/support/fleet/store.py
@@ -99,14 +99,19 @@
         self.kept_from = self.revision
 
     async def answer(self, request: Request) -> Response | OpaqueResponse:
+        return await self.answer_in(self.mode, request)
+
+    async def answer_in(
+        self, mode: str, request: Request
+    ) -> Response | OpaqueResponse:
         self.calls.append(f'{request.method} {request.path}')
-        if self.mode == 'busy':
+        if mode == 'busy':
             return Response(503)
-        if self.mode == 'many':
+        if mode == 'many':
             return Response(429)
-        if self.mode == 'silent':
+        if mode == 'silent':
             await curio.sleep(1000)
-        if self.mode == 'reset':
+        if mode == 'reset':
             return OpaqueResponse(200, (), chunks=torn())
         answer = await self.carry_out(request)
         if self.era is not None:
--- a/features/support/fleet/world.py
+++ b/features/support/fleet/world.py
@@ -17,7 +17,7 @@
 from turmericyard_http.answer_writer import Limits
 from turmericyard_http.connection import ClientConnection, connect
 from turmericyard_http.exchange import shut_down
-from turmericyard_http.messages import Headers
+from turmericyard_http.messages import Headers, Request
 from turmericyard_http.server import HttpServer, open_listener
 from turmericyard_node.forwarding.application import ForwardingApplication
 from turmericyard_node.forwarding.assembly import create_forwarding
@@ -105,7 +105,8 @@
     nodes: dict[str, ForwardingApplication] = field(default_factory=dict)
     servers: dict[str, HttpServer] = field(default_factory=dict)
     tasks: list[Any] = field(default_factory=list)
-    store_address: str = ''
+    #: Answers that nodes get from the store instead, by the name of the node.
+    store_answers: dict[str, Any] = field(default_factory=dict)
     by_address: dict[str, FleetRunner] = field(default_factory=dict)
     #: Starts of runners that crashed.
     births: int = 0
@@ -125,9 +126,14 @@
         return address
 
     async def open(self) -> None:
-        self.store_address = await self.serve('store', self.store.answer)
+        await self.serve('store', self.store.answer)
         self.store.put('op/config', manifest())
 
+    async def answer_store(self, node: str, request: Request) -> Any:
+        """Answer a node's call to the store."""
+        answer = self.store_answers.get(node, self.servers['store'].handler)
+        return await answer(request)
+
     async def add_runner(self, identity: str, service: str) -> FleetRunner:
         runner = FleetRunner(identity, peers=self.by_address)
         runner.address = await self.serve(identity, runner.answer)
@@ -189,7 +195,7 @@
             'r',
             *addresses,
             tuple(node.settings.control for node in self.nodes.values()),
-            self.store_address,
+            await self.serve(f'store-{name}', partial(self.answer_store, name)),
             1.0,
             Bounds(grace_seconds=4),
         )
@@ -247,12 +253,16 @@
             await connection.close()
         return answer
 
+    async def kill(self, node: ForwardingApplication) -> None:
+        """End a node at once, as a process that is killed."""
+        for server in node.servers:
+            await server.close()
+        await node.tasks.cancel_all()
+        await node.fleet.mesh.close()
+
     async def close(self) -> None:
         for node in self.nodes.values():
-            for server in node.servers:
-                await server.close()
-            await node.tasks.cancel_all()
-            await node.fleet.mesh.close()
+            await self.kill(node)
         for server in self.servers.values():
             await server.close()
         for task in self.tasks:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -53,6 +53,7 @@
     platform_state.registry.is_store_failing = partial(
         is_store_failing_everywhere, fleet.hub_choice, platform_state
     )
+    platform_state.registry.lapse_seconds = settings.bounds.lapse_seconds
     platform_state.listeners.extend((discovery.observe, fleet.hub.observe))
     endpoint_selector = EndpointSelector(
         platform_state,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_poll.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_poll.py
@@ -51,7 +51,6 @@
 
     def endpoints(self) -> Iterable[Endpoint]:
         """Return the usable engines with runs of any node."""
-        now = self.clock()
         registry = self.fleet.platform_state.registry
         running = {
             identity
@@ -65,7 +64,7 @@
         return [
             endpoint
             for identity, endpoint in registry.endpoints.items()
-            if identity in running and endpoint.usable(now)
+            if identity in running and endpoint.usable()
         ]
 
     async def poll(self, endpoint: Endpoint) -> None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_registry.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_registry.py
@@ -1,7 +1,8 @@
 """The known endpoints and the state of each.
 
-A record that disappears while the store is failing may appear again: its
-endpoint stays until the store has answered for `RENEWAL_SECONDS`.
+A record may lapse when its endpoint cannot renew it, and appear again after the
+outage: its endpoint stays until the store has answered for `RENEWAL_SECONDS`. A
+record that goes earlier than it can lapse was removed.
 """
 
 from collections.abc import Callable, Iterable
@@ -11,6 +12,10 @@
 from turmericyard_decisions.request_rate import RequestRate
 from turmericyard_decisions.service_retry_budget import ColdRateLimiter
 from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.store_answers import (
+    FAILURE_SECONDS,
+    StoreAnswers,
+)
 from turmericyard_ports.endpoint import EndpointRecord, EndpointState
 from turmericyard_protocol.fleet_messages import (
     THOUSAND,
@@ -21,22 +26,24 @@
 #: Time within which live endpoints renew lapsed records after an outage, as
 #: specified by the platform, in seconds.
 RENEWAL_SECONDS = 2.0
+#: Time without a renewal after which a record lapses by default, in seconds.
+LAPSE_SECONDS = 3.6
 #: Most leaving signs that are kept: those of a large fleet in some minutes.
 MAX_SIGNS = 2048
 #: Largest limit that is told from others, in requests a second.
 MAX_PER_SECOND = 1e6
 #: Most limits that are kept: those of a large fleet.
 MAX_LIMITS = 4096
-#: Time after a failure for which the store counts as failing, in seconds.
-FAILURE_SECONDS = 1.5
 
 
 @dataclass(slots=True, eq=False)
 class Endpoint:
     """One incarnation of an endpoint.
 
-    `gone_at` is when a lapsed record counts as removed, None while the record
-    exists; `back_off_until` is when this node may send requests again, and
+    `gone_at` is when a lapsed record counts as removed if the store still
+    answers then, None while the record exists. `renewed_at` is a time before
+    its last renewal that this node read from the store itself.
+    `back_off_until` is when this node may send requests again, and
     `sent_in_back_off` the number of requests that it sent before that time.
     `limit` is the latest limit that it named to any node, `request_rate` what
     this node sent or placed within it.
@@ -46,6 +53,7 @@
     cold_until: float = 0
     leaving_since: float | None = None
     gone_at: float | None = None
+    renewed_at: float = float('-inf')
     back_off_until: float = 0
     sent_in_back_off: int = 0
     limit: EndpointLimit | None = None
@@ -60,11 +68,9 @@
         """Return the identity under which the endpoint is registered."""
         return self.record.identity
 
-    def usable(self, now: float) -> bool:
+    def usable(self) -> bool:
         """Return whether the endpoint may get new requests."""
-        if self.leaving_since is not None:
-            return False
-        return self.gone_at is None or now < self.gone_at
+        return self.leaving_since is None
 
     def is_backing_off(self, now: float) -> bool:
         """Return whether a back-off that the endpoint asked for has not ended."""
@@ -122,7 +128,10 @@
     listeners: list[LeavingListener] = field(default_factory=list)
     #: Time of this node's last failed call to the store.
     failed_at: float = float('-inf')
-    #: Returns whether records may be missing because the store is failing.
+    answers: StoreAnswers = field(default_factory=StoreAnswers)
+    #: Time after its last renewal at which a record lapses, in seconds.
+    lapse_seconds: float = LAPSE_SECONDS
+    #: Returns whether the store answers no node that reads it.
     is_store_failing: Callable[[], bool] = store_not_failing
     #: Leaving signs from the answers of endpoints, by identity, the latest
     #: last. A renewed record does not clear them, since it may be out of date.
@@ -222,12 +231,31 @@
         known = self.endpoints.get(identity)
         if known is None:
             return
-        if self.is_store_failing():
+        if self.may_have_lapsed(known, now):
             known.gone_at = now + RENEWAL_SECONDS
             return
         self.mark_leaving(known, now, 'removed')
         self.endpoints.pop(identity)
 
+    def may_have_lapsed(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether a missing record may have lapsed in an outage.
+
+        Failed calls show an outage only to a node that makes calls, when the
+        other nodes that do so report failures too: the store may turn single
+        nodes away while endpoints renew their records.
+        """
+        if now - endpoint.renewed_at < self.lapse_seconds:
+            return False
+        if self.answers.had_outage(now):
+            return True
+        return self.has_store_failed(now) and self.is_store_failing()
+
+    def record_renewal(self, identity: str, renewed_at: float) -> None:
+        """Record a renewal that was made later than a time."""
+        known = self.endpoints.get(identity)
+        if known is not None:
+            known.renewed_at = renewed_at
+
     def has_store_failed(self, now: float) -> bool:
         """Return whether a call of this node to the store failed recently."""
         return now - self.failed_at < FAILURE_SECONDS
@@ -235,15 +263,15 @@
     def expire(self, now: float) -> None:
         """Remove endpoints whose lapsed records were not renewed in time.
 
-        The time counts from when the store no longer fails.
+        The time counts from the end of an outage.
         """
-        failing = self.is_store_failing()
+        had_outage = self.answers.had_outage(now)
         for identity, endpoint in tuple(self.endpoints.items()):
             if endpoint.gone_at is None:
                 continue
-            if failing:
+            if had_outage:
                 endpoint.gone_at = now + RENEWAL_SECONDS
-            elif endpoint.gone_at <= now:
+            elif endpoint.gone_at <= self.answers.latest_at:
                 self.mark_leaving(endpoint, now, 'lapsed')
                 self.endpoints.pop(identity)
 
@@ -262,16 +290,16 @@
         """Return a service's endpoints whose back-off has not ended."""
         return [
             endpoint
-            for endpoint in self.usable_of_service(service, now)
+            for endpoint in self.usable_of_service(service)
             if endpoint.is_backing_off(now)
         ]
 
-    def usable_of_service(self, service: str, now: float) -> Iterable[Endpoint]:
+    def usable_of_service(self, service: str) -> Iterable[Endpoint]:
         """Return the endpoints of a service that may get requests."""
         return [
             endpoint
             for endpoint in self.endpoints.values()
-            if endpoint.record.service == service and endpoint.usable(now)
+            if endpoint.record.service == service and endpoint.usable()
         ]
 
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -183,6 +183,9 @@
         report.received_at = self.clock()
         report.store_age = update.store_age_ms / MILLISECONDS
         report.store_failed = update.trouble
+        self.platform_state.registry.answers.record(
+            report.received_at - report.store_age
+        )
         await self.hub.findings.receive(update.findings)
         if not update.whole and update.sequence > report.sequence + 1:
             report.sequence = 0
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
@@ -65,6 +65,9 @@
     relist_at: float = 0
     #: Era of the last listing, None before the first.
     era: int | None = None
+    #: When the store answered this node's last call and the one before.
+    answered_at: float = float('-inf')
+    answered_before: float = float('-inf')
     #: Until when items that a restored store lacks may be written again.
     confirm_by: float = 0
 
@@ -167,12 +170,17 @@
         self.platform_state.view.apply(
             latest_revision(batch.changes), batch.changes, batch.era
         )
+        self.platform_state.record_renewals(batch.changes, self.answered_before)
 
     def record_answer(self) -> None:
         """Record an answer of the store."""
         now = self.clock()
         self.contact.record_store_contact(now)
-        self.platform_state.registry.expire(now)
+        registry = self.platform_state.registry
+        self.answered_before = self.answered_at
+        self.answered_at = now
+        registry.answers.record(now)
+        registry.expire(now)
 
     def record_failure(self, error: StoreError) -> None:
         """Record a failed call."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
@@ -140,6 +140,6 @@
         """Return the endpoint that a hub chose, None if this node cannot use it."""
         registry = self.endpoint_selector.platform_state.registry
         endpoint = registry.endpoints.get(reply.endpoint)
-        if endpoint is None or not endpoint.usable(self.clock()):
+        if endpoint is None or not endpoint.usable():
             return None
         return endpoint
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/platform_state.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/platform_state.py
@@ -139,6 +139,16 @@
         self.registry.observe(record, now)
         return known != record
 
+    def record_renewals(
+        self, changes: Iterable[Change], renewed_at: float
+    ) -> None:
+        """Record the endpoints whose records were written later than a time."""
+        prefix = self.platform_adapter.endpoint_prefix
+        for change in changes:
+            if change.value is not None and change.key.startswith(prefix):
+                identity = change.key.removeprefix(prefix)
+                self.registry.record_renewal(identity, renewed_at)
+
     def observe_limit(self, limit: EndpointLimit) -> bool:
         """Record the limit of an endpoint; return whether it is new."""
         return self.registry.observe_limit(limit, self.clock())
@@ -153,9 +163,7 @@
         """Return the endpoints that may get requests of a service."""
         return [
             endpoint
-            for endpoint in self.registry.usable_of_service(
-                service, self.clock()
-            )
+            for endpoint in self.registry.usable_of_service(service)
             if endpoint.record.zone not in self.closed_zones
         ]
 
@@ -167,7 +175,7 @@
         """
         if endpoint.record.zone in self.closed_zones:
             return False
-        return endpoint.usable(self.clock())
+        return endpoint.usable()
 
     def may_continue_run(self, endpoint: Endpoint) -> bool:
         """Return whether a run may continue at an endpoint that has its copy.
--- a/packages/turmericyard-ports/src/turmericyard_ports/settings.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/settings.py
@@ -9,6 +9,7 @@
     `retry_ratio` limits repeats to this share of the requests in a window of
     `retry_window_seconds`. A cold endpoint gets at most `cold_overage` times
     the `cold_per_second` of its service, plus `cold_slack`, requests a second.
+    The record of an endpoint lapses when it was not renewed for `lapse_seconds`.
     """
 
     grace_seconds: float = 8
@@ -19,6 +20,7 @@
     retry_extra: float = 20
     cold_overage: float = 1
     cold_slack: float = 0
+    lapse_seconds: float = 3.6
 
 
 class ForwardingSettings(Struct, frozen=True):
