Drop the reports of former hubs

The directories of all nodes named a node that had been removed, as long as they ran: clients connected to an address at which nothing listens.

Cause: HubChoice.reports kept an entry for each node that was ever a hub of this one, and live_members counts each entry as a live node that takes clients. Only a present hub that fails to answer lost its entry. Ruled out: the hubs' lists of members (silent nodes leave them after 1.8 s) and the record in the store (gone at once). It takes no rolling restart: nodes that start together are hubs of each other for a moment.

Now the entries of nodes that are neither chosen nor sent an update in the last 1.8 s go when hubs are chosen, each 0.5 s. No message changes.

--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub_choice.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub_choice.py
@@ -57,6 +57,15 @@
         ]
         candidates.sort(key=rank)
         self.names = [member.node for member in candidates[:HUBS]]
+        self.drop_former_reports()
+
+    def drop_former_reports(self) -> None:
+        """Drop the reports of former hubs, which send no updates any more."""
+        self.reports = {
+            node: report
+            for node, report in self.reports.items()
+            if node in self.names or self.is_current(node)
+        }
 
     def exclude(self, node: str) -> None:
         """Exclude an unresponsive hub for `EXCLUSION_SECONDS`."""
