Forget members that have neither a record nor heartbeats

Each node knew a node that had ended as a member for good: it counted for budgets, and was chosen as a hub again each 3 s, with a heartbeat that failed.

Cause: the record of a node that ends is removed while its last heartbeat still counts (1.8 s); the removal was then passed over and never looked at again. Members known from a seed only have no removal at all.

Now members without a record that were not live for 4 s are forgotten, looked at each second. 4 s are longer than the 3 s for which a hub is not chosen.

--- a/features/steps/forwarding_gone_nodes_steps.py
+++ b/features/steps/forwarding_gone_nodes_steps.py
@@ -67,8 +67,19 @@
         for other, running in world.nodes.items()
         if node.settings.callers in running.fleet.addresses(ZONE)
     ]
+    await curio.sleep(4)
+    context.knowing = [
+        other
+        for other, running in world.nodes.items()
+        if name in running.fleet.membership.members
+    ]
 
 
 @then('no other node lists its address after 6 seconds')
 def step_not_listed(context: Context) -> None:
     assert not context.listing, context.listing
+
+
+@then('no other node knows it as a member after 10 seconds')
+def step_not_known(context: Context) -> None:
+    assert not context.knowing, context.knowing
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/discovery.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/discovery.py
@@ -1,7 +1,7 @@
 """Discovery of other nodes by records in the store and by seeds."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import curio
 import orjson
@@ -22,6 +22,9 @@
 #: Interval of attempts to write this node's record, in seconds.
 REGISTER_SECONDS = 1.0
 MEMBERS_PATH = '/members'
+#: Time for which a member without a record must be silent before it is
+#: forgotten, in seconds: nodes reach their next hubs within that time.
+FORGET_SECONDS = 4.0
 DONE = 'done'
 
 
@@ -32,6 +35,8 @@
     fleet: Fleet
     read_settings: Callable[[], Result[ForwardingSettings, str]]
     seeds: tuple[str, ...]
+    #: Since when members without a record in the store are not live.
+    absent_since: dict[str, float] = field(default_factory=dict)
     #: `DONE`, or the error of the last reading of the settings.
     outcome: str = DONE
 
@@ -60,6 +65,27 @@
         self.fleet.membership.members.pop(node, None)
         self.fleet.mesh.addresses.pop(node, None)
 
+    def forget_absent(self, now: float) -> None:
+        """Remove members that have no record and were not live for some time.
+
+        The record of a node that ends goes while its last heartbeat counts.
+        """
+        live = self.fleet.live_members()
+        records = self.fleet.platform_state.view.items
+        absent = [
+            node
+            for node in self.fleet.membership.members
+            if node not in live
+            and node != self.fleet.own.node
+            and MEMBERS_PREFIX + node not in records
+        ]
+        self.absent_since = {
+            node: self.absent_since.get(node, now) for node in absent
+        }
+        for node, since in self.absent_since.items():
+            if now - since >= FORGET_SECONDS:
+                self.forget(node)
+
     async def run_membership(self) -> None:
         """Renew this node's record until cancelled.
 
@@ -89,6 +115,7 @@
                 self.refresh_seeds()
                 for seed in self.seeds:
                     await self.query_seed(seed)
+            self.forget_absent(self.fleet.clock())
             await curio.sleep(SEED_INTERVAL_SECONDS)
 
     def refresh_seeds(self) -> None:
