Look whether an endpoint crashed when an answer without a length ends

A request whose answer has neither a length nor chunks crashed each endpoint that ran it and was sent on and on: callers got a success that stopped early, and the strikes of the request were cleared each time.

Cause: the end of the connection is the end of such an answer, and the kernel closes the connections of a killed process in the same way. Ruled out: the joiner of events (it sees a stream that ends inside an event; this one ends between two). Same class as crashes after the first event: a sign of life taken as proof of health.

The answer to the caller is unchanged.

--- a/features/forwarding/crashes.feature
+++ b/features/forwarding/crashes.feature
@@ -24,6 +24,20 @@
       | 6 engines that keep backups | after 30 events              |
       | 6 engines                   | inside the body of a failure |
 
+  # Guards against crashes that look like the end of an answer without a length.
+  Scenario Outline: A request is refused when endpoints crash as its answer ends
+    Given a world with 6 <endpoints> and 3 nodes
+    And endpoints that end <answer> with a crash
+    When a client sends a crashing <request> 10 times to all nodes in turn
+    Then 3 endpoints crashed
+    And its last answers are refusals with a time to retry
+    And requests with other bodies are served by every node
+
+    Examples:
+      | endpoints       | request | answer                                   |
+      | engines         | stream  | a stream that ends with the connection   |
+      | plain endpoints | write   | a body that ends with the connection     |
+
   Scenario: Repeats of an idempotent request count as well
     Given a world with 6 plain endpoints and 2 nodes
     When a client sends an idempotent request that crashes endpoints 6 times
--- a/features/steps/forwarding_crashes_steps.py
+++ b/features/steps/forwarding_crashes_steps.py
@@ -5,15 +5,18 @@
 from uuid import uuid4
 
 import curio
-from behave import then, when
+from behave import given, then, when
 from behave.runner import Context
 from hypothesis import given as given_drawn
 from hypothesis import seed, settings
 from hypothesis import strategies as drawn
 
 from support.fleet.scenario import PROMPT, run
+from support.fleet.scripted import CrashingScript
 from support.fleet.world import Answer, World
+from turmericyard_bench.launch import LOOPBACK, free_port
 from turmericyard_decisions.strikes import STRIKE_LIMIT, StrikeRegistry
+from turmericyard_node.forwarding.application import ForwardingApplication
 
 CRASHING_BODY = b'deadly'
 SEED = 1
@@ -92,6 +95,49 @@
     send_crashing_streams(context, times, crash_in_failure=True)
 
 
+@given('endpoints that end {answer} with a crash')
+def step_scripts(context: Context, answer: str) -> None:
+    async def replace_runners(world: World) -> None:
+        context.scripts = []
+        for identity, runner in world.runners.items():
+            port = free_port()
+            address = f'{LOOPBACK}:{port}'
+            script = CrashingScript(
+                answer, CRASHING_BODY, world.crash_seconds, address
+            )
+            world.tasks.append(await curio.spawn(script.run, port))
+            context.scripts.append(script)
+            runner.address = address
+            service = 'engines' if 'stream' in answer else 'plain'
+            world.register(identity, service)
+        for node in world.nodes.values():
+            await world.until(partial(knows_runners, world, node))
+
+    context.prepare.append(replace_runners)
+
+
+def knows_runners(world: World, node: ForwardingApplication) -> bool:
+    endpoints = node.platform_state.registry.endpoints
+    return {each.record.address for each in endpoints.values()} == {
+        runner.address for runner in world.runners.values()
+    }
+
+
+@when('a client sends a crashing {kind} {times:d} times to all nodes in turn')
+def step_crashing_scripts(context: Context, kind: str, times: int) -> None:
+    target = f'/{kind}/a'
+
+    async def scenario(world: World) -> None:
+        context.answers = await send_crashing(world, target, times, **PROMPT)
+        context.crashed = sum(script.crashes for script in context.scripts)
+        context.others = [
+            await world.ask(node, target, f'at-other-{node}', **PROMPT)
+            for node in world.nodes
+        ]
+
+    run(context, scenario)
+
+
 def send_crashing_streams(
     context: Context, times: int, **changes: bool | int
 ) -> None:
--- a/features/support/fleet/scripted.py
+++ b/features/support/fleet/scripted.py
@@ -1,10 +1,14 @@
-"""An endpoint that answers each request with the same bytes and closes."""
+"""Endpoints that answer each request with the same bytes and close."""
 
 import re
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
 
 from support.fleet.raw_server import serve_raw
+from turmericyard_http.server import open_listener
 
 ATTEMPT = re.compile(rb'x-turmericyard-attempt-id: (\S+)', re.IGNORECASE)
 SEAL = b'x-turmericyard-response-seal: s\r\n'
@@ -49,3 +53,38 @@
                 self.asked += 1
                 attempt = ATTEMPT.search(head)[1]
                 await sock.sendall(ANSWERS[self.kind].replace(b'%s', attempt))
+
+
+@dataclass
+class CrashingScript:
+    """Crashes as its answer to some requests ends, and is back later.
+
+    The answers of `kind` have no other end than that of their connection.
+    """
+
+    kind: str
+    crashing_body: bytes
+    away_seconds: float
+    address: str = ''
+    crashes: int = 0
+    crashed: Any = field(default_factory=curio.Event)
+
+    async def run(self, port: int) -> None:
+        while True:
+            listener = open_listener(self.address.partition(':')[0], port)
+            serving = await curio.spawn(serve_raw, listener, self.answer)
+            await self.crashed.wait()
+            self.crashed.clear()
+            await serving.cancel()
+            await curio.sleep(self.away_seconds)
+
+    async def answer(self, sock: Any) -> None:
+        async with sock:
+            with suppress(OSError):
+                request = await sock.recv(65_536)
+                attempt = ATTEMPT.search(request)[1]
+                await sock.sendall(ANSWERS[self.kind].replace(b'%s', attempt))
+                if request.endswith(self.crashing_body):
+                    self.crashes += 1
+                    await self.crashed.set()
+                    await curio.sleep(0)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
@@ -124,7 +124,10 @@
             return MayHaveRun(repr(error))
         finally:
             await response.close()
-        await self.sender.crashes.record_completion(job)
+        if response.ends_with_connection:
+            await self.sender.crashes.record_unframed_answer(job, endpoint)
+        else:
+            await self.sender.crashes.record_completion(job)
         return self.answer(response, body)
 
     def answer(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/crash_detector.py
@@ -31,11 +31,12 @@
     """An answer that broke off, and the strikes when its request was sent.
 
     `strikes` has those of the parts of its prompt only if they may have crashed
-    the endpoint.
+    the endpoint. An answer that ended with its connection may be complete.
     """
 
     job: Job
     strikes: tuple[Strike, ...]
+    may_be_complete: bool = False
 
     def record(self, registry: StrikeRegistry) -> Iterator[Strike | None]:
         """Count a strike against the request and each part of its prompt."""
@@ -145,14 +146,31 @@
         """Start to check whether the endpoint of a broken answer has crashed.
 
         A crash after its run was `established` counts against the request only.
+        """
+        strikes = suspected_strikes(job, established=established)
+        await self.suspect(endpoint, BrokenAnswer(job, strikes))
+
+    async def record_unframed_answer(
+        self, job: Job, endpoint: Endpoint, *, established: bool = False
+    ) -> None:
+        """Start to check whether an answer ended with a crash.
+
+        Nothing but the end of its connection ends such an answer, as the crash
+        of its endpoint does.
+        """
+        strikes = suspected_strikes(job, established=established)
+        await self.suspect(endpoint, BrokenAnswer(job, strikes, True))
+
+    async def suspect(
+        self, endpoint: Endpoint, broken_answer: BrokenAnswer
+    ) -> None:
+        """Start to check whether an endpoint has crashed.
+
         An endpoint that announced its leaving is expected to stop.
         """
         if endpoint.leaving_since is not None:
             return
-        job.unexplained_breaks += 1
-        request, *parts = job.strikes_at_send
-        suspects = () if established else parts
-        broken_answer = BrokenAnswer(job, (request, *suspects))
+        broken_answer.job.unexplained_breaks += 1
         broken_off = self.broken.get(endpoint.identity)
         if broken_off is not None:
             broken_off.append(broken_answer)
@@ -168,6 +186,9 @@
         for broken_answer in broken_off:
             broken_answer.job.unexplained_breaks -= 1
         if not refused:
+            for complete in broken_off:
+                if complete.may_be_complete:
+                    await self.record_completion(complete.job)
             return
         struck = dict.fromkeys(
             strike for each in broken_off for strike in each.strikes
@@ -195,6 +216,11 @@
             return False
 
 
+def suspected_strikes(job: Job, *, established: bool) -> tuple[Strike, ...]:
+    """Return the strikes at send of what may have crashed an endpoint."""
+    return job.strikes_at_send[:1] if established else job.strikes_at_send
+
+
 def mark_of(workspace: str | None, target: bytes, body: bytes) -> bytes:
     """Return the digest that identifies repeats of a caller's request."""
     digest = xxhash.xxh3_128()
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_response.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_response.py
@@ -18,6 +18,8 @@
 
 OK = 200
 MULTIPLE_CHOICES = 300
+#: Header lines that tell where a body ends.
+FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 #: Time limit for connecting, in seconds.
 CONNECT_SECONDS = 0.6
 #: Time for which sent bytes may stay unacknowledged before the connection is
@@ -46,6 +48,12 @@
         """Return whether the status is a success."""
         return OK <= self.head.status < MULTIPLE_CHOICES
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection ends the body."""
+        names = {name for name, _ in self.head.lines}
+        return names.isdisjoint(FRAMING_HEADERS)
+
     async def read(self) -> bytes:
         """Return the next bytes of the body, as `read_piece` does."""
         return await self.connection.read_piece()
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -166,7 +166,7 @@
                 yield events
             yield run.event_joiner.finish()
             outcome = 'whole'
-            await self.sender.crashes.record_completion(run.job)
+            await self.record_completion(run)
         except ConnectionAbortedError as error:
             outcome = f'broken: {error}'
             raise
@@ -200,6 +200,17 @@
                 established=run.is_established_here(),
             )
 
+    async def record_completion(self, run: Run) -> None:
+        """Report a complete stream, or one that may end with a crash."""
+        if run.response.ends_with_connection:
+            await self.sender.crashes.record_unframed_answer(
+                run.job,
+                run.current_endpoint,
+                established=run.is_established_here(),
+            )
+        else:
+            await self.sender.crashes.record_completion(run.job)
+
     async def end(self, run: Run, outcome: str, started_at: float) -> None:
         """Close a run's stream, count it and log how it ended."""
         self.run_registry.end(run)
