Take no start of a node for the end of an outage

A node that had just started sent requests to an endpoint up to 3.2 s after its record was removed; 2 s are allowed.

Cause: before the first answer of the store there is no earlier one to measure from, and StoreAnswers took that for an outage that ended with the start. Ruled out: failed calls (none in this scenario).

Now the first answer shows no outage.

--- a/features/forwarding/removed_records.feature
+++ b/features/forwarding/removed_records.feature
@@ -24,6 +24,13 @@
     When the store turns 1 of 2 calls of one hub away (busy) and a record is removed
     Then the other nodes send the endpoint nothing later than 2 seconds after that
 
+  # Guards against a start that is taken for the end of an outage.
+  Scenario: A record is removed just after a node has started
+    Given a world with 3 plain endpoints and 3 nodes
+    And endpoints that renew their records
+    When another node starts and a record is removed as soon as it is ready
+    Then the other nodes send the endpoint nothing later than 2 seconds after that
+
   Scenario Outline: Records that lapse in an outage of <seconds> seconds are renewed after it
     Given a world with 3 plain endpoints and 5 nodes
     And endpoints that renew their records
--- a/features/steps/forwarding_removed_records_steps.py
+++ b/features/steps/forwarding_removed_records_steps.py
@@ -85,16 +85,35 @@
         turn_away(world, chosen, turned_away, out_of, how)
         calling = await curio.spawn(call_all, context, world, others)
         await curio.sleep(TROUBLE_SECONDS)
-        context.lapsed.add(REMOVED)
-        world.store.drop(f'servers/{REMOVED}')
-        context.removed_at = boot_seconds()
-        await curio.sleep(WATCHED_SECONDS)
+        await remove_record(context, world)
         await calling.cancel()
-        context.arrived_at = list(world.runners[REMOVED].arrived_at)
 
     run(context, scenario)
 
 
+@when('another node starts and a record is removed as soon as it is ready')
+def step_started(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        node = await world.add_node('n-new')
+        await world.until(node.is_ready)
+        calling = await curio.spawn(call_all, context, world, ['n-new'])
+        runner = world.runners[REMOVED]
+        await world.until(lambda: bool(runner.arrived_at))
+        await remove_record(context, world)
+        await calling.cancel()
+
+    run(context, scenario)
+
+
+async def remove_record(context: Context, world: World) -> None:
+    """Remove a record; collect when its endpoint is called until later."""
+    context.lapsed.add(REMOVED)
+    world.store.drop(f'servers/{REMOVED}')
+    context.removed_at = boot_seconds()
+    await curio.sleep(WATCHED_SECONDS)
+    context.arrived_at = list(world.runners[REMOVED].arrived_at)
+
+
 async def call_all(context: Context, world: World, nodes: list[str]) -> None:
     """Call nodes in turn until cancelled; collect the statuses."""
     context.statuses = []
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/store_answers.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/store_answers.py
@@ -1,5 +1,6 @@
 """When the store answered the nodes that read it."""
 
+import math
 from dataclasses import dataclass
 
 #: Time without an answer to any reader after which the store had an outage, in
@@ -18,12 +19,15 @@
     without any answer is an outage. `resumed_at` is when the latest one ended.
     """
 
-    latest_at: float = float('-inf')
-    resumed_at: float = float('-inf')
+    latest_at: float = -math.inf
+    resumed_at: float = -math.inf
 
     def record(self, answered_at: float) -> None:
-        """Record an answer to a node; they may arrive in any order."""
-        if answered_at - self.latest_at > OUTAGE_SECONDS:
+        """Record an answer to a node; they may arrive in any order.
+
+        The first one shows no outage: the node may have just started.
+        """
+        if OUTAGE_SECONDS < answered_at - self.latest_at < math.inf:
             self.resumed_at = answered_at
         self.latest_at = max(self.latest_at, answered_at)
 
