Play the kill of all hubs beside the removal of a record

A time without answers to any reader counts as an outage of the store since. Nodes whose hubs are killed have no answers either until they read the store themselves; if that took longer than 2.4 s, a removal would be put off.

--- a/features/forwarding/removed_records.feature
+++ b/features/forwarding/removed_records.feature
@@ -31,6 +31,19 @@
     When another node starts and a record is removed as soon as it is ready
     Then the other nodes send the endpoint nothing later than 2 seconds after that
 
+  # Guards against hubs that end and are taken for an outage of the store.
+  Scenario Outline: All hubs are killed <seconds> seconds before a record is removed
+    Given a world with 3 plain endpoints and 5 nodes
+    And endpoints that renew their records
+    When all hubs are killed and <seconds> seconds later a record is removed
+    Then the other nodes send the endpoint nothing later than 2 seconds after that
+
+    Examples:
+      | seconds |
+      | 0       |
+      | 1       |
+      | 2       |
+
   Scenario Outline: Records that lapse in an outage of <seconds> seconds are renewed after it
     Given a world with 3 plain endpoints and 5 nodes
     And endpoints that renew their records
--- a/features/steps/forwarding_removed_records_steps.py
+++ b/features/steps/forwarding_removed_records_steps.py
@@ -105,6 +105,22 @@
     run(context, scenario)
 
 
+@when('all hubs are killed and {seconds:g} seconds later a record is removed')
+def step_hubs_killed(context: Context, seconds: float) -> None:
+    async def scenario(world: World) -> None:
+        hubs = world.nodes['n-0'].fleet.hub_choice.names
+        killed = [world.nodes.pop(name) for name in tuple(hubs)]
+        calling = await curio.spawn(call_all, context, world, list(world.nodes))
+        await curio.sleep(1)
+        for node in killed:
+            await world.kill(node)
+        await curio.sleep(seconds)
+        await remove_record(context, world)
+        await calling.cancel()
+
+    run(context, scenario)
+
+
 async def remove_record(context: Context, world: World) -> None:
     """Remove a record; collect when its endpoint is called until later."""
     context.lapsed.add(REMOVED)
