Bring comments on strikes and outages in line with the code

The page of the strikes still said that a part is cleared when a request with it begins to be answered; it is cleared when a run is established. Two constants are explained in plainer words.

--- a/packages/turmericyard-decisions/src/turmericyard_decisions/strikes.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/strikes.py
@@ -6,11 +6,11 @@
 after the previous one was known. A request or part in progress at several
 endpoints that are lost together therefore gets one strike. The strikes of a
 request are cleared when it completes, those of a part when any request that has
-it begins to be answered.
+it was answered for some time, or completes.
 
 The strikes against the part that is the cause and against the parts that always
 come with it are alike. A request that has only some of them is therefore sent
-while another one explains the crashes: if it is answered, its parts are cleared.
+while another one explains the crashes: its answer clears its parts.
 
 The strikes of several nodes can be merged in any order: the later era of a mark
 takes precedence, then the higher count.
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
@@ -12,8 +12,8 @@
 #: Share of a run's remaining output that is added to its memory forecast: the
 #: runs of an endpoint do not all reach their full length at the same time.
 REMAINING_MEMORY_SHARE = 0.5
-#: Time from the first to a later event of an endpoint after which the prompt of
-#: a run is not what crashes it, in seconds.
+#: Time for which an endpoint must have sent events of a run before a crash no
+#: longer counts against the parts of its prompt, in seconds.
 ESTABLISHED_SECONDS = 0.5
 
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/store_answers.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/store_answers.py
@@ -7,7 +7,8 @@
 #: seconds. Nodes whose hubs get no answers read the store themselves after 2 s;
 #: no record lapses in a shorter outage.
 OUTAGE_SECONDS = 2.4
-#: Time after a failure for which the store counts as failing, in seconds.
+#: Time after a failure, or after an outage, for which the store counts as failing,
+#: in seconds.
 FAILURE_SECONDS = 1.5
 
 
