Continue resumable streams after the last event that the client has

`resumable` was not decoded at all. Change: `resumable` and `gapAimMs` of routes are decoded. On such a route the header reaches the endpoint and the joiner drops events that the client has. A stream without a copy runs anew at another endpoint after its last event, within `attempts` and the retry budget; one that fails before its first event does so too. Other routes drop the header as before.

--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -140,6 +140,9 @@
             return OpaqueResponse(503, (echo, *self.not_run()))
         if fault == 'full':
             return OpaqueResponse(503, (echo, *self.not_run()))
+        if fault == 'reset' and request.path.startswith('/stream'):
+            self.ran.append(attempt)
+            raise ConnectionAbortedError
         if request.path.startswith('/stream'):
             await curio.sleep(self.head_seconds)
             return self.stream(headers, attempt, echo, fault)
@@ -231,6 +234,7 @@
                 return OpaqueResponse(503, (echo, not_run))
             begin = int(headers['last-event-id'])
         else:
+            begin = int(headers.get('last-event-id', 0))
             self.begun.append(attempt)
         run = Made(attempt, begin, self.length)
         self.runs[attempt] = run
--- a/features/support/fleet/world.py
+++ b/features/support/fleet/world.py
@@ -34,7 +34,11 @@
 
 
 def manifest(version: int = 1, **changes: Any) -> dict[str, Any]:
-    """Return a configuration with a call, a once-only and a stream route."""
+    """Return a configuration with a call, a once-only and a stream route.
+
+    With `resumable`, streams may be resumed and run at two runners.
+    """
+    resumable = changes.pop('resumable', False)
     common = {'host': HOST, 'timeoutMs': 3000, 'targetLatencyMs': 400}
     return {
         'version': version,
@@ -61,7 +65,8 @@
                 'pathPrefix': '/stream/',
                 'kind': 'streaming',
                 'service': 'engines',
-                'attempts': 1,
+                'attempts': 2 if resumable else 1,
+                'resumable': resumable,
                 'timeoutMs': 8000,
             },
         ],
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/event_stream_joiner.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/event_stream_joiner.py
@@ -37,6 +37,11 @@
     incomplete_event: bytes = b''
     continued: bool = False
 
+    @classmethod
+    def after(cls, last: str) -> 'EventStreamJoiner':
+        """Return a joiner for a client that has the events up to `last`."""
+        return cls(last, continued=bool(last))
+
     def feed(self, chunk: bytes) -> bytes:
         """Return the complete events up to the end of this chunk.
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
@@ -37,6 +37,10 @@
     excluded_endpoints: set[str] = field(default_factory=set)
     #: How often it was sent, also to endpoints that did not run it.
     send_count: int = 0
+    #: How many endpoints may have begun to run it anew.
+    run_count: int = 0
+    #: Id of the last event that the client has, '' at the start of a stream.
+    resume_after: str = ''
     #: The node that placed it last, for itself or as a hub.
     placed_by: str = ''
     #: Its broken answers of which it is not known whether the endpoint crashed.
@@ -64,6 +68,10 @@
         """Return the seconds until the deadline, never negative."""
         return max(0, self.deadline_at - now)
 
+    def may_run_again(self) -> bool:
+        """Return whether one more endpoint may run the request."""
+        return self.route.may_repeat and self.run_count < self.route.attempts
+
     def expected_output(self) -> float:
         """Return the expected output of a generation, in tokens."""
         prompt = self.incoming.prompt
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/request_handler.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/request_handler.py
@@ -175,6 +175,7 @@
                 incoming.body,
             ),
             part_marks_of(incoming.shared_parts),
+            resume_after=incoming.last_event_id if route.resumable else '',
         )
 
     def refuse(self, status: int, detail: str) -> Answer:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -116,6 +116,7 @@
             job.urgency if job.service.engine else None,
             backup.record.address if backup else None,
             copied,
+            job.resume_after,
         )
         result = await send_request(
             self.fleet.paths.connect,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
@@ -1,7 +1,13 @@
-"""Continues runs at another endpoint, from a copy or a backup."""
+"""Continues streams at another endpoint.
+
+A run continues from a copy or a backup. A resumable stream without either runs
+anew after the last event that was passed on.
+"""
 
 from dataclasses import dataclass
 
+import curio
+
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.copies import CopyCleaner
@@ -11,13 +17,17 @@
 from turmericyard_node.forwarding.load_tracker import LoadTracker, RequestLoad
 from turmericyard_node.forwarding.placement import HubPlacement
 from turmericyard_node.forwarding.runs import Run
-from turmericyard_node.forwarding.sending import Sender
+from turmericyard_node.forwarding.sending import NotRun, Sender
 from turmericyard_ports.request import Continuation
 
 #: Expected output from which a run has a backup, in tokens.
 MIN_BACKUP_TOKENS = 100
 #: Time limit for the response of an endpoint that continues a run, in seconds.
 CONTINUE_TIMEOUT_SECONDS = 3.0
+#: Time for which a broken resumable stream waits for room, in seconds, and the
+#: pause between two attempts to place it.
+ROOM_SECONDS = 1.0
+ROOM_PAUSE_SECONDS = 0.1
 
 
 @dataclass(slots=True)
@@ -54,6 +64,8 @@
                     cause=detail,
                 )
                 return True
+        if await self.run_anew(run, detail):
+            return True
         log_event(Event.STREAM_FAILED, attempt=run.job.attempt, message=detail)
         return False
 
@@ -106,6 +118,49 @@
         await self.cleaner.discard(run, unused)
         return True
 
+    async def run_anew(self, run: Run, detail: str) -> bool:
+        """Run a resumable stream anew after its last event.
+
+        Return whether an endpoint does so.
+        """
+        job = run.job
+        job.excluded_endpoints.add(run.current_endpoint.identity)
+        job.resume_after = run.event_joiner.last
+        while job.may_run_again() and self.sender.may_retry(job):
+            endpoint = await self.find_room(job)
+            if endpoint is None:
+                return False
+            job.excluded_endpoints.add(endpoint.identity)
+            seconds = min(
+                CONTINUE_TIMEOUT_SECONDS, job.seconds_left(self.clock())
+            )
+            response = await self.sender.send(job, endpoint, seconds)
+            job.run_count += not isinstance(response, NotRun)
+            if not isinstance(response, EndpointResponse):
+                continue
+            if response.succeeded:
+                self.attach(run, endpoint, response, None)
+                log_event(
+                    Event.STREAM_CONTINUED,
+                    attempt=job.attempt,
+                    endpoint=endpoint.identity,
+                    copy=None,
+                    after=run.event_joiner.last,
+                    cause=detail,
+                )
+                return True
+            await response.close()
+        return False
+
+    async def find_room(self, job: Job) -> Endpoint | None:
+        """Return an endpoint for a broken stream; None if none has room soon."""
+        until = min(self.clock() + ROOM_SECONDS, job.deadline_at)
+        while True:
+            endpoint = await self.placement.place(job)
+            if endpoint is not None or self.clock() >= until:
+                return endpoint
+            await curio.sleep(ROOM_PAUSE_SECONDS)
+
     def attach(
         self,
         run: Run,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -7,6 +7,7 @@
 
 from turmericyard_decisions.event_stream_joiner import (
     EventMissing,
+    EventStreamJoiner,
     EventTooLong,
 )
 from turmericyard_http.answer_writer import Answer
@@ -27,6 +28,7 @@
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
+SERVER_ERROR = 500
 #: Retry-after time, in seconds, of a request that was rejected by every endpoint
 #: to which it was sent.
 RETRY_AFTER_SECONDS = 0.5
@@ -64,24 +66,48 @@
     instruments: Instruments
 
     async def forward(self, job: Job) -> Answer:
-        """Return the stream of a generation, or the refusal."""
-        rejections = 0
-        while True:
-            endpoint = await self.room.acquire(job)
-            if isinstance(endpoint, NotPlaced):
-                return self.refuse(
-                    endpoint.detail, endpoint.retry_after_seconds
-                )
-            refused = self.sender.refuse_crashing(job)
-            if refused is not None:
-                return refused
+        """Return the stream of a generation, or the refusal.
+
+        A resumable stream that fails before its first event runs once more at
+        another endpoint. The failure is the answer when that cannot be: a
+        refusal would say that the request has not run.
+        """
+        rejection = ''
+        answer: Answer | None = None
+        while self.may_begin(job, answer):
+            endpoint = await self.place(job)
+            if not isinstance(endpoint, Endpoint):
+                return answer or endpoint
             outcome = await self.begin(job, endpoint)
-            if not isinstance(outcome, NotRun):
-                return outcome
-            rejections += 1
             job.excluded_endpoints.add(endpoint.identity)
-            if rejections > MAX_REJECTIONS or not self.sender.may_retry(job):
-                return self.refuse(outcome.detail, RETRY_AFTER_SECONDS)
+            if isinstance(outcome, NotRun):
+                rejection = outcome.detail
+            else:
+                answer = outcome
+        return answer or self.refuse(rejection, RETRY_AFTER_SECONDS)
+
+    async def place(self, job: Job) -> Endpoint | Answer:
+        """Return the endpoint for a generation, or its refusal."""
+        endpoint = await self.room.acquire(job)
+        if isinstance(endpoint, NotPlaced):
+            return self.refuse(endpoint.detail, endpoint.retry_after_seconds)
+        return self.sender.refuse_crashing(job) or endpoint
+
+    def may_begin(self, job: Job, answer: Answer | None) -> bool:
+        """Return whether the request may be sent, after an answer or before."""
+        if not job.send_count:
+            return True
+        if not self.sender.may_retry(job):
+            return False
+        rejections = job.send_count - job.run_count
+        if answer is None:
+            return rejections <= MAX_REJECTIONS
+        return (
+            answer.status >= SERVER_ERROR
+            and rejections <= MAX_REJECTIONS
+            and job.may_run_again()
+            and job.seconds_left(self.clock()) > 0
+        )
 
     async def begin(self, job: Job, endpoint: Endpoint) -> Answer | NotRun:
         """Send the request to an endpoint and open its stream."""
@@ -97,8 +123,17 @@
             response = await self.sender.send(
                 job, endpoint, job.seconds_left(self.clock()), backup=backup
             )
+            job.run_count += not isinstance(response, NotRun)
             if isinstance(response, EndpointResponse) and response.succeeded:
-                run = Run(job, endpoint, response, load, backup, backup_load)
+                run = Run(
+                    job,
+                    endpoint,
+                    response,
+                    load,
+                    backup,
+                    backup_load,
+                    EventStreamJoiner.after(job.resume_after),
+                )
                 run.last_progress_at = self.clock()
                 self.run_registry.begin(run)
                 started = True
--- a/packages/turmericyard-ports/src/turmericyard_ports/configuration.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/configuration.py
@@ -1,6 +1,7 @@
 """The configuration in force: routes, services, workspaces and limits."""
 
 from enum import Enum
+from itertools import chain
 
 from msgspec import Struct, field
 
@@ -38,6 +39,15 @@
     attempts: int
     priority: int = 0
     allows_anonymous: bool = False
+    #: Whether a stream may go on at another endpoint after its last event.
+    resumable: bool = False
+    #: Longest pause between two events for which a stream is on time.
+    gap_target_seconds: float = 0
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.kind is RepeatPolicy.IDEMPOTENT or self.resumable
 
 
 class EngineTraits(Struct, frozen=True):
@@ -96,6 +106,8 @@
     configuration: Configuration
     by_host: dict[str, list[Route]] = field(default_factory=dict)
     by_key: dict[str, Workspace] = field(default_factory=dict)
+    #: Services of the routes whose streams may be resumed.
+    resumable_services: frozenset[str] = frozenset()
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest matching prefix."""
@@ -114,9 +126,19 @@
         routes.sort(key=prefix_length, reverse=True)
     for workspace in configuration.workspaces:
         table.by_key.update(dict.fromkeys(workspace.keys, workspace))
+    table.resumable_services = frozenset(
+        chain.from_iterable(map(resumable_targets, configuration.routes))
+    )
     return table
 
 
+def resumable_targets(route: Route) -> tuple[str, ...]:
+    """Return the services of a route if its streams may be resumed."""
+    if not route.resumable:
+        return ()
+    return tuple(target.service for target in route.targets)
+
+
 def prefix_length(route: Route) -> int:
     """Return the length of a route's prefix, the sort key of routes."""
     return len(route.prefix)
--- a/packages/turmericyard-ports/src/turmericyard_ports/request.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/request.py
@@ -45,6 +45,8 @@
     key: str | None = None
     prompt: Prompt | None = None
     shared_parts: tuple[str, ...] = ()
+    #: Id of the last event that the client has of the stream that it resumes.
+    last_event_id: str = ''
 
 
 class ForwardingContext(Struct, frozen=True):
@@ -61,6 +63,8 @@
     backup: str | None = None
     #: The copy from which the run is continued, and the last event delivered.
     copied: 'Continuation | None' = None
+    #: Id of the event after which a new run of a resumable stream begins.
+    resume_after: str = ''
 
 
 class Continuation(Struct, frozen=True):
