Interfaces of the parts: message forms, settings, options

Cause: a message with one field more closes the channel of every older build, so that no part could add what it has to say; the parts need limits of the machine and settings of their own. Ruled out: another protocol version, which ends the handshake. Change: each side names its message form in the websocket opening and gets the fields and types of that form; a reader takes fewer fields, ignores later ones and skips unknown types with one log event. The check of the field count is replaced by checks that each released layout is the beginning of the one in use and that frames for form 1 have exactly its fields. FleetBeat, PlaceRequest and PlaceReply get fields, PlaceOffer, PlaceTaken and QueueLeave are new; nothing sends them yet. Memory, descriptors and roll-out bounds are decoded; deploy/node.ini has the node's own settings. The assembly of the forwarders is a module of its own.

--- a/features/protocol/codec.feature
+++ b/features/protocol/codec.feature
@@ -43,3 +43,21 @@
   Scenario: The connecting node refuses an accepting node without the secret
     When a connecting node receives a welcome from a node with another secret
     Then the handshake fails as "PeerNotTrusted"
+
+  # Builds of form 1 close the connection when the number of fields differs.
+  Scenario: Messages for a peer of form 1 have the fields that it knows
+    When messages of every type are encoded for a peer of form 1
+    Then each frame has the released fields of its type
+
+  # A field or type number that changes its meaning splits a fleet of two builds.
+  Scenario: Released layouts only grow at their ends
+    Then each released layout is the beginning of the layout in use
+    And the fields added since have defaults
+
+  Scenario: Frames of other builds are understood
+    When a heartbeat with 8 of its fields and one with 2 unknown ones are decoded
+    Then both are heartbeats with the fields that were sent
+
+  Scenario: A message of an unknown type is told from a malformed one
+    When a frame of type 9999 is decoded
+    Then the decoding fails as an unknown type
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
@@ -20,6 +20,7 @@
 from turmericyard_node.forwarding.follow import Follower
 from turmericyard_node.forwarding.moves import RunCopier
 from turmericyard_node.forwarding.node_status import NodeStatusHandler
+from turmericyard_node.forwarding.options import NodeOptions
 from turmericyard_node.forwarding.platform_state import PlatformState
 from turmericyard_node.forwarding.request_handler import (
     PlannedStop,
@@ -71,6 +72,7 @@
     stalls: StallWatch
     poll: EndpointPoll
     tasks: BackgroundTasks
+    options: NodeOptions
     servers: list[HttpServer] = field(default_factory=list)
     leaving_endpoints: deque[Endpoint] = field(default_factory=deque)
     draining: bool = False
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -5,9 +5,6 @@
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.tasks import BackgroundTasks
 from turmericyard_node.forwarding.application import ForwardingApplication
-from turmericyard_node.forwarding.calls import CallForwarder
-from turmericyard_node.forwarding.copies import CopyCleaner
-from turmericyard_node.forwarding.crash_detector import CrashDetector
 from turmericyard_node.forwarding.discovery import Discovery, other_seeds
 from turmericyard_node.forwarding.endpoint_evidence import ejected_in_zone
 from turmericyard_node.forwarding.endpoint_poll import EndpointPoll
@@ -18,29 +15,29 @@
     create_fleet,
 )
 from turmericyard_node.forwarding.follow import Follower
+from turmericyard_node.forwarding.forwarder_assembly import (
+    create_forwarders,
+)
 from turmericyard_node.forwarding.gauges import create_exporter
 from turmericyard_node.forwarding.hub_choice import HubChoice
 from turmericyard_node.forwarding.instruments import create_instruments
-from turmericyard_node.forwarding.moves import RunCopier
 from turmericyard_node.forwarding.node_status import NodeStatusHandler
+from turmericyard_node.forwarding.options import NodeOptions
 from turmericyard_node.forwarding.placement import HubPlacement
 from turmericyard_node.forwarding.platform_state import (
     PlatformState,
     create_platform_state,
 )
-from turmericyard_node.forwarding.request_handler import RequestHandler
-from turmericyard_node.forwarding.runs import RunRegistry
-from turmericyard_node.forwarding.sending import Sender
 from turmericyard_node.forwarding.stalls import StallWatch
-from turmericyard_node.forwarding.stream_failover import StreamFailover
-from turmericyard_node.forwarding.streams import StreamForwarder
 from turmericyard_node.forwarding.waiting import WaitingRoom
 from turmericyard_ports.border import PlatformAdapter
 from turmericyard_ports.settings import ForwardingSettings
 
 
 def create_forwarding(
-    settings: ForwardingSettings, platform_adapter: PlatformAdapter
+    settings: ForwardingSettings,
+    platform_adapter: PlatformAdapter,
+    options: NodeOptions | None = None,
 ) -> ForwardingApplication:
     """Return the application for valid settings, not yet started."""
     store = platform_adapter.open_store(settings)
@@ -106,6 +103,7 @@
         StallWatch(boot_seconds),
         EndpointPoll(platform_adapter, fleet, boot_seconds),
         tasks,
+        options or NodeOptions(),
     )
     fleet.is_ready = application.is_ready
     platform_state.registry.listeners.append(
@@ -115,61 +113,6 @@
     return application
 
 
-def create_forwarders(
-    platform_adapter: PlatformAdapter,
-    settings: ForwardingSettings,
-    fleet: Fleet,
-    room: WaitingRoom,
-    tasks: BackgroundTasks,
-) -> tuple[RequestHandler, RunCopier]:
-    """Return the parts that forward requests and move their runs."""
-    loads = fleet.loads
-    instruments = room.instruments
-    sender = Sender(
-        platform_adapter,
-        settings.bounds,
-        fleet,
-        boot_seconds,
-        instruments,
-        CrashDetector(fleet.hub.findings, tasks, fleet.paths),
-    )
-    run_registry = RunRegistry(loads)
-    cleaner = CopyCleaner(platform_adapter, tasks, fleet.paths)
-    stream_failover = StreamFailover(
-        sender, room.placement, loads, boot_seconds, cleaner
-    )
-    streams = StreamForwarder(
-        platform_adapter,
-        sender,
-        room,
-        stream_failover,
-        loads,
-        run_registry,
-        boot_seconds,
-        instruments,
-    )
-    calls = CallForwarder(platform_adapter, sender, room, loads, boot_seconds)
-    request_handler = RequestHandler(
-        platform_adapter,
-        fleet.platform_state,
-        fleet.contact,
-        calls,
-        streams,
-        instruments,
-        boot_seconds,
-    )
-    return request_handler, RunCopier(
-        platform_adapter,
-        room.placement,
-        loads,
-        run_registry,
-        boot_seconds,
-        instruments,
-        cleaner,
-        fleet.paths,
-    )
-
-
 def is_relied_on(fleet: Fleet) -> bool:
     """Return whether other nodes use this node's view, or there are no others."""
     return bool(fleet.hub.last_heartbeats) or fleet.size() == 1
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/command.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/command.py
@@ -11,6 +11,7 @@
 from turmericyard_node.forwarding.application import ForwardingApplication
 from turmericyard_node.forwarding.assembly import create_forwarding
 from turmericyard_node.forwarding.log_output import write_logs_to
+from turmericyard_node.forwarding.options import read_options
 from turmericyard_node.signals import STOP_SIGNALS, watch_signals
 from turmericyard_ports.border import PlatformAdapter
 
@@ -25,8 +26,14 @@
     if not isinstance(read, Success):
         print(read.failure(), file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
+    options = read_options()
+    if not isinstance(options, Success):
+        print(options.failure(), file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
     write_logs_to(sys.stdout.fileno())
-    application = create_forwarding(read.unwrap(), platform_adapter)
+    application = create_forwarding(
+        read.unwrap(), platform_adapter, options.unwrap()
+    )
     freeze_start_objects()
     try:
         curio.run(serve, application)
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/options.py
@@ -0,0 +1,47 @@
+"""Reads a forwarding node's own settings, an INI file.
+
+A missing file, section or key means the default.
+"""
+
+from configparser import ConfigParser
+from configparser import Error as ConfigParserError
+from pathlib import Path
+from typing import Annotated
+
+from msgspec import Meta, Struct, ValidationError, convert, field
+from returns.result import Failure, Result, Success
+
+#: File of these settings below the directory in which the process starts.
+DEFAULT_PATH = Path('deploy', 'node.ini')
+#: Largest share of requests that may be sent twice.
+MAX_SHARE = 0.2
+Share = Annotated[float, Meta(ge=0, le=MAX_SHARE)]
+
+
+class HedgingOptions(Struct, frozen=True, forbid_unknown_fields=True):
+    """Second copies of requests that may be repeated; off with a share of 0."""
+
+    #: Share of the requests of a service that may be sent twice.
+    share: Share = 0
+
+
+class ClientOptions(Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits on what all clients of a node together may take."""
+
+
+class NodeOptions(Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of a forwarding node that the platform does not give."""
+
+    hedging: HedgingOptions = field(default_factory=HedgingOptions)
+    clients: ClientOptions = field(default_factory=ClientOptions)
+
+
+def read_options(path: Path = DEFAULT_PATH) -> Result[NodeOptions, str]:
+    """Return the options in a file, or which one is invalid."""
+    parser = ConfigParser(interpolation=None)
+    try:
+        parser.read(path, encoding='utf-8')
+        sections = {name: dict(parser[name]) for name in parser.sections()}
+        return Success(convert(sections, NodeOptions, strict=False))
+    except (ConfigParserError, UnicodeDecodeError, ValidationError) as error:
+        return Failure(f'{path}: {error}; correct or remove the key')
--- a/packages/turmericyard-node/src/turmericyard_node/peers/channel.py
+++ b/packages/turmericyard-node/src/turmericyard_node/peers/channel.py
@@ -16,10 +16,13 @@
 from websockets.uri import parse_uri
 
 from turmericyard_protocol.codec import MAX_FRAME_BYTES
+from turmericyard_protocol.forms import FIRST_FORM, FORM, read_form
 
 RECEIVE_BYTES = 65_536
 #: Source address with which the operating system chooses one.
 ANY_SOURCE = ''
+#: Header of the websocket opening in which each side names its message form.
+FORM_HEADER = 'Turmericyard-Message-Form'
 
 #: Maximum time to send a close frame, in seconds.
 CLOSE_FRAME_TIMEOUT_SECONDS = 0.1
@@ -48,6 +51,8 @@
         self.bytes_received = 0
         self.frames_sent = 0
         self.reset_on_close = False
+        #: The message form of the peer.
+        self.form = FIRST_FORM
 
     async def read(self) -> bytes:
         """Return the next binary frame; raises ChannelClosed or OSError."""
@@ -148,7 +153,9 @@
         parse_uri(f'ws://{address}/peer'), max_size=MAX_FRAME_BYTES
     )
     channel = Channel(sock, protocol)
-    protocol.send_request(protocol.connect())
+    opening = protocol.connect()
+    opening.headers[FORM_HEADER] = str(FORM)
+    protocol.send_request(opening)
     await channel.flush()
     while protocol.state is State.CONNECTING:
         await channel.receive()
@@ -161,7 +168,9 @@
     for event in channel.protocol.events_received():
         if isinstance(event, Frame):
             channel.frames.append(bytes(event.data))
-        elif not isinstance(event, Response):
+        elif isinstance(event, Response):
+            channel.form = read_form(event.headers.get(FORM_HEADER))
+        else:
             raise ChannelClosed
     if channel.protocol.handshake_exc is not None:
         raise ChannelClosed
@@ -176,7 +185,10 @@
         await channel.receive()
         for event in protocol.events_received():
             if isinstance(event, Request):
-                protocol.send_response(protocol.accept(event))
+                channel.form = read_form(event.headers.get(FORM_HEADER))
+                response = protocol.accept(event)
+                response.headers[FORM_HEADER] = str(FORM)
+                protocol.send_response(response)
         if protocol.handshake_exc is not None:
             raise ChannelClosed
     await channel.flush()
--- a/packages/turmericyard-node/src/turmericyard_node/peers/link.py
+++ b/packages/turmericyard-node/src/turmericyard_node/peers/link.py
@@ -12,12 +12,15 @@
     ChannelClosed,
     ChannelEnded,
 )
-from turmericyard_protocol.codec import decode, encode
+from turmericyard_protocol.codec import Envelope, decode, encode
 from turmericyard_protocol.errors import (
     PeerError,
+    PeerOutdated,
     PeerTimeout,
     PeerUnreachable,
+    UnknownMessageType,
 )
+from turmericyard_protocol.forms import is_known
 
 
 class PendingReply:
@@ -57,13 +60,17 @@
         self, payload: Any, timeout_seconds: float
     ) -> Result[Any, PeerError]:
         """Send a request and return its reply."""
+        if not is_known(type(payload), self.channel.form):
+            return Failure(PeerOutdated(self.node))
         correlation = self.next_correlation
         self.next_correlation += 1
         reply = PendingReply()
         self.pending[correlation] = reply
         try:
             async with curio.timeout_after(timeout_seconds):
-                await self.channel.send(encode(payload, correlation))
+                await self.channel.send(
+                    encode(payload, correlation, self.channel.form)
+                )
                 await reply.arrived.wait()
         except curio.TaskTimeout:
             return Failure(PeerTimeout(self.node))
@@ -89,7 +96,7 @@
         """Pass replies to their requests until the channel closes."""
         try:
             while True:
-                envelope = decode(await self.channel.read()).value_or(None)
+                envelope = await self.next_envelope()
                 if envelope is None:
                     return
                 waiting = self.pending.get(-envelope.correlation)
@@ -104,6 +111,16 @@
             await self.close()
             await self.channel.close()
 
+    async def next_envelope(self) -> Envelope | None:
+        """Return the next message of a known type, None for a malformed one."""
+        while True:
+            decoded = decode(await self.channel.read())
+            if isinstance(decoded, Success):
+                envelope: Envelope = decoded.unwrap()
+                return envelope
+            if not isinstance(decoded.failure(), UnknownMessageType):
+                return None
+
     async def close(self) -> None:
         """Abort the channel and wake every waiting request."""
         if self.closed:
--- a/packages/turmericyard-node/src/turmericyard_node/peers/mesh.py
+++ b/packages/turmericyard-node/src/turmericyard_node/peers/mesh.py
@@ -25,7 +25,14 @@
 from turmericyard_node.peers.identity import Identity
 from turmericyard_node.peers.link import PeerLink
 from turmericyard_protocol.codec import Envelope, decode, encode
-from turmericyard_protocol.errors import PeerError, PeerUnreachable
+from turmericyard_protocol.errors import (
+    MalformedMessage,
+    PeerError,
+    PeerOutdated,
+    PeerUnreachable,
+    UnknownMessageType,
+)
+from turmericyard_protocol.forms import FIRST_FORM, is_known
 from turmericyard_protocol.tunnel_messages import TunnelOpen
 
 HANDSHAKE_TIMEOUT_SECONDS = 2
@@ -94,7 +101,13 @@
 
     async def send(self, node: str, payload: Any) -> Result[None, PeerError]:
         """Send a notice; it has no reply."""
-        return await self.send_frame(node, encode(payload))
+        link = await self.link_to(node)
+        if link is None:
+            return Failure(PeerUnreachable(node))
+        form = link.channel.form
+        if not is_known(type(payload), form):
+            return Failure(PeerOutdated(node))
+        return await link.notify(encode(payload, form=form))
 
     async def send_frame(
         self, node: str, frame: bytes
@@ -203,15 +216,19 @@
         await channel.close()
 
     async def read_messages(self, channel: Channel, node: str) -> None:
-        """Start a task for each message; return at a malformed one."""
+        """Start a task for each message; return at a malformed one.
+
+        Messages of unknown types are skipped and logged once for the channel.
+        """
+        skipped = False
         while True:
             decoded = decode(await channel.read())
             if not isinstance(decoded, Success):
-                log_event(
-                    Event.PEER_MALFORMED,
-                    peer=node,
-                    message=decoded.failure().message,
-                )
+                error = decoded.failure()
+                log_malformed(node, error, repeated=skipped)
+                skipped = is_skippable(error)
+                if skipped:
+                    continue
                 return
             envelope = decoded.unwrap()
             if isinstance(envelope.payload, TunnelOpen):
@@ -227,7 +244,8 @@
         if envelope.correlation <= 0 or reply is None:
             return
         try:
-            await channel.send(encode(reply, -envelope.correlation))
+            frame = encode(reply, -envelope.correlation, channel.form)
+            await channel.send(frame)
         except (OSError, ChannelClosed):
             return
 
@@ -251,6 +269,25 @@
         await self.tasks.cancel_all()
 
 
+def log_malformed(
+    node: str, error: MalformedMessage, *, repeated: bool
+) -> None:
+    """Log a message that was not understood; only the first that is skipped."""
+    if not (repeated and is_skippable(error)):
+        log_event(Event.PEER_MALFORMED, peer=node, message=error.message)
+
+
+def is_skippable(error: MalformedMessage) -> bool:
+    """Return whether the message is only of a type that is not known."""
+    return isinstance(error, UnknownMessageType)
+
+
+def form_of(mesh: PeerMesh, node: str) -> int:
+    """Return the message form of a peer; the first while it is unknown."""
+    link = mesh.links.get(node)
+    return FIRST_FORM if link is None else link.channel.form
+
+
 def open_channels(mesh: PeerMesh) -> list[Channel]:
     """Return the open channels to and from all peers."""
     links = (*mesh.links.values(), *mesh.monitor_links.values())
--- a/packages/turmericyard-ports/src/turmericyard_ports/settings.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/settings.py
@@ -10,6 +10,9 @@
     `retry_window_seconds`. A cold endpoint gets at most `cold_overage` times
     the `cold_per_second` of its service, plus `cold_slack`, requests a second.
     The record of an endpoint lapses when it was not renewed for `lapse_seconds`.
+    A version that is rolled out gets at most `exposure_share` of the requests of
+    its service and `exposure_slack` more before the decision, and none later
+    than `rollback_seconds` after it was found bad.
     """
 
     grace_seconds: float = 8
@@ -21,6 +24,9 @@
     cold_overage: float = 1
     cold_slack: float = 0
     lapse_seconds: float = 3.6
+    exposure_share: float = 0.1
+    exposure_slack: float = 50
+    rollback_seconds: float = 5
 
 
 class ForwardingSettings(Struct, frozen=True):
@@ -46,3 +52,6 @@
     #: Processor time that the process may use, in cores.
     cores: float
     bounds: Bounds
+    #: Memory and descriptors that the process may use; 0 without a limit.
+    memory_bytes: int = 0
+    descriptors: int = 0
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/codec.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/codec.py
@@ -1,5 +1,8 @@
 """Encodes messages as CBOR; decoding validates every field.
 
+Fields that are missing at the end have their defaults, and later ones are
+ignored, so that builds with other fields understand each other.
+
 A frame is `[type number, correlation id, field, ...]`. Correlation id 0 marks a
 notice, a positive id a request and the negated id the reply to it. A message
 inside a field is the list of its own fields. Long frames are compressed with
@@ -15,7 +18,11 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from turmericyard_protocol.errors import MalformedMessage
+from turmericyard_protocol.errors import (
+    MalformedMessage,
+    UnknownMessageType,
+)
+from turmericyard_protocol.forms import FORM, field_count
 from turmericyard_protocol.message_types import MESSAGE_TYPES
 
 #: Longest frame accepted from a peer, in bytes, before and after decompression.
@@ -41,9 +48,10 @@
 TYPE_NUMBERS = {kind: number for number, kind in MESSAGE_TYPES.items()}
 
 
-def encode(payload: Any, correlation: int = 0) -> bytes:
-    """Return the frame of a registered message."""
+def encode(payload: Any, correlation: int = 0, form: int = FORM) -> bytes:
+    """Return the frame of a registered message for a peer of a form."""
     field_values = msgspec.to_builtins(payload, builtin_types=(bytes,))
+    field_values = field_values[: field_count(type(payload), form)]
     frame = cbor2.dumps(
         [TYPE_NUMBERS[type(payload)], correlation, *field_values]
     )
@@ -108,9 +116,7 @@
     """Return the message of a type number and its field values."""
     kind = MESSAGE_TYPES.get(number)
     if kind is None:
-        return Failure(MalformedMessage(f'unknown type {number}'))
-    if len(kind.__struct_fields__) != len(field_values):
-        return Failure(MalformedMessage(f'{kind.__name__}: field count'))
+        return Failure(UnknownMessageType(f'unknown type {number}'))
     try:
         payload = msgspec.convert(field_values, kind)
     except (msgspec.ValidationError, RecursionError) as error:
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/errors.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/errors.py
@@ -14,6 +14,10 @@
         return f'malformed message ({self.detail}): check the peer version'
 
 
+class UnknownMessageType(MalformedMessage, frozen=True):
+    """A peer sent a message that this build does not know; it is skipped."""
+
+
 class UnsupportedVersion(Struct, frozen=True):
     """A peer speaks another protocol version; the connection is closed."""
 
@@ -51,6 +55,17 @@
         return f'no connection to {self.node}: try another node'
 
 
+class PeerOutdated(Struct, frozen=True):
+    """The peer's build does not know the message; nothing was sent."""
+
+    node: str
+
+    @property
+    def message(self) -> str:
+        """Return what happened and the remedy."""
+        return f'{self.node} does not know this message: upgrade it'
+
+
 class PeerTimeout(Struct, frozen=True):
     """The message was sent, but no reply came before the timeout."""
 
@@ -62,5 +77,5 @@
         return f'no reply from {self.node}: it may have acted'
 
 
-PeerError = PeerUnreachable | PeerTimeout
+PeerError = PeerUnreachable | PeerOutdated | PeerTimeout
 DecodeError = MalformedMessage | UnsupportedVersion
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -118,13 +118,53 @@
     limits: tuple[EndpointLimit, ...] = ()
 
 
+class EndpointPace(Message, frozen=True):
+    """How fast an endpoint served one node since its last heartbeat.
+
+    `events` of streams took `event_us` microseconds in all, while
+    `running` generations, summed over the events, ran there. `prompt_tokens`
+    took `prompt_us` from the request to the first event. `calls` of a plain
+    service took `call_us`.
+    """
+
+    identity: str
+    events: int = 0
+    event_us: int = 0
+    running: int = 0
+    prompt_tokens: int = 0
+    prompt_us: int = 0
+    calls: int = 0
+    call_us: int = 0
+
+
+class RolloutCount(Message, frozen=True):
+    """Answers that one node got for a route since a roll-out was ordered.
+
+    Counts are cumulative for one process of the node. `order` is the revision
+    of the order. `old` and `new` count answers by duration: the first entry
+    has the failures, the others successful answers by classes of time to the
+    first event or answer, the fastest first.
+    """
+
+    service: str
+    order: int
+    route: str
+    old: tuple[int, ...]
+    new: tuple[int, ...]
+    #: Requests sent to the service, and those of them sent to the new version.
+    sent: int = 0
+    sent_new: int = 0
+
+
 class FleetBeat(Message, frozen=True):
     """Heartbeat of a forwarding node to its hubs.
 
     `sequence` is that of the last update received from the hub; `revision` and
     `era` are those of the node's view of the store. `taking` tells whether clients may be
     sent to the node, `cut_off` whether the node reaches no endpoint by itself.
-    `use` is its load on each endpoint. `answers` counts the
+    `paces` are the speeds of endpoints that it observed, `rollouts` its counts
+    for versions that are rolled out and `started` tells one process of the node
+    from the next. `use` is its load on each endpoint. `answers` counts the
     answers of endpoints. The last batches of `answers` and the latest
     `findings` are sent repeatedly, because heartbeats may be lost.
     """
@@ -137,6 +177,9 @@
     findings: Findings = Findings()
     era: int = 0
     cut_off: bool = False
+    paces: tuple[EndpointPace, ...] = ()
+    rollouts: tuple[RolloutCount, ...] = ()
+    started: int = 0
 
 
 class StoreItem(Message, frozen=True):
@@ -201,7 +244,10 @@
     `tokens` is the forecast of its memory. `avoided` are endpoints that fail by
     the requesting node's own evidence. `suspects` are the marks of parts of its
     prompt that may crash endpoints: the outcome of the client's `attempt` is
-    awaited before another request with them is placed.
+    awaited before another request with them is placed. `priority` is that of
+    the workspace and that of the route, 0 first. A request that may wait at the
+    hub gives `wait_ms`, the time that it may still wait, and `waited_ms`, the
+    time that it has waited. `route` and `workspace` tell whose it is.
     """
 
     service: str
@@ -211,6 +257,11 @@
     avoided: tuple[str, ...]
     attempt: str = ''
     suspects: tuple[bytes, ...] = ()
+    priority: tuple[int, int] = (0, 0)
+    workspace: str = ''
+    route: str = ''
+    wait_ms: int = 0
+    waited_ms: int = 0
 
 
 class CopyPlaceRequest(Message, frozen=True):
@@ -236,6 +287,37 @@
 
 
 class PlaceReply(Message, frozen=True):
-    """The chosen endpoint; empty when none has capacity."""
+    """The chosen endpoint; empty when none has capacity.
+
+    `queued` tells that the request waits at the hub, which will send a
+    `PlaceOffer`. A request that is refused may be sent again after
+    `retry_after_ms`, if that is not 0.
+    """
 
     endpoint: str
+    queued: bool = False
+    retry_after_ms: int = 0
+
+
+class PlaceOffer(Message, frozen=True):
+    """Gives a request that waits at a hub its endpoint.
+
+    Without an `endpoint` the request is refused and may be sent again after
+    `retry_after_ms`. The answer is `PlaceTaken`.
+    """
+
+    attempt: str
+    endpoint: str
+    retry_after_ms: int = 0
+
+
+class PlaceTaken(Message, frozen=True):
+    """Tells a hub whether a node uses the place that it was offered."""
+
+    taken: bool
+
+
+class QueueLeave(Message, frozen=True):
+    """Tells a hub that a request no longer waits for a place."""
+
+    attempt: str
