Let the soak upgrade nodes from another build

Cause: builds run side by side during an upgrade, and nothing played that with real processes. Change: with FIRST_BUILD=DIR the first process of each node runs the build in that checkout, and its restarts run this one. Off without the variable.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,8 @@
 	$(PY) -m turmericyard_bench.soak --seed $(SEED) --minutes $(MINUTES)
 
 NODES ?= 4
+# FIRST_BUILD=DIR: the first process of each node runs the build in DIR.
+export FIRST_BUILD
 fleet-soak: setup
 	$(PY) -m support.fleet_soak --seed $(SEED) --minutes $(MINUTES) --nodes $(NODES)
 
--- a/features/support/fleet_soak/nodes.py
+++ b/features/support/fleet_soak/nodes.py
@@ -1,6 +1,7 @@
 """Node processes: their settings files, starts and signals."""
 
 import json
+import os
 import signal
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -21,6 +22,9 @@
 RETRY_RATIO = 0.2
 WINDOW_SECONDS = 10
 POLL_SECONDS = 0.05
+#: Variable with a checkout of another build, which the first process of each
+#: node runs: its restarts are the upgrade.
+FIRST_BUILD_VARIABLE = 'FIRST_BUILD'
 START_SECONDS = 20
 #: How long a process that was told to end is waited for, in seconds.
 END_SECONDS = 12
@@ -108,9 +112,18 @@
             self.name,
             MODULE,
             ('--adapter', ADAPTER),
-            {'TURMERICYARD_BOOT': str(self.path)},
+            {'TURMERICYARD_BOOT': str(self.path), **self.build()},
         )
 
+    def build(self) -> dict[str, str]:
+        """Return the variables that choose the build of the next process."""
+        first_build = os.environ.get(FIRST_BUILD_VARIABLE)
+        if not first_build or len(self.started_at) > 1:
+            return {}
+        root = Path(first_build).resolve()
+        sources = [*root.glob('packages/*/src'), root / 'platform']
+        return {'PYTHONPATH': os.pathsep.join(map(str, sources))}
+
     def is_running(self) -> bool:
         return self.running is not None and self.running.is_running()
 
