Choose engines and plain endpoints by their learned speeds

Cause: engines of one service differ in speed by 2.7 times, and one constant speed was assumed for all. Prompts were sent to slow engines whose streams then paused for longer than the target of their route. Calls to plain services went to the endpoint of the node's own zone while it had a slot for this node. Ruled out: the time to the first event as a measure (parts of prompts that were read earlier, other prompts before it); the mean of the gaps (contains the prompts that the forecast adds again); one cost in seconds in place of streams within the target first (no difference beyond chance); placing plain calls at the hub (two messages a call). Change: nodes measure the gaps between events and report them in FleetBeat.paces; the hub merges them, and places a generation where the fewest running streams would pause too long, then where its first event comes first. A heartbeat is also sent at the first event of a stream, until which the hub counts the prompt as unread. Each node spreads plain calls by the times and rejections of its own calls. Enabled by RouteTable.resumable_services; otherwise nothing is measured, reported or used. Events 520 and 521, three metrics. `tempfile` is loaded at its first use, since the bound on modules before the settings are read (412) was exceeded by the nine new ones: 411 now.

--- /dev/null
+++ b/features/forwarding/endpoint_speeds.feature
@@ -0,0 +1,48 @@
+Feature: Nodes learn the speeds of endpoints and tell their hubs
+
+  # One node sees too few streams of an engine to know its speed.
+  Scenario: A hub learns a slow engine from the streams of another node
+    Given engines with resumable streams and a second node
+    And the metrics are read at the end
+    When an engine takes 3 times as long for its events while one node asks for streams
+    Then the other node knows that this engine is slower
+    And random placements differ from those without learned speeds
+    And the metrics show the speed of 3 engines
+
+  Scenario: Speeds are neither reported nor used without resumable services
+    Given a world with 3 engines and 2 nodes
+    When an engine takes 3 times as long for its events while one node asks for streams
+    Then no node has learned a speed or reported one
+    And random placements are the same as without learned speeds
+
+  # A peer's bug must not make engines look useless.
+  Scenario Outline: A report with <what> is ignored
+    Given engines with resumable streams and a second node
+    When a peer reports <events> events in <microseconds> microseconds with <running> running
+    Then the report is ignored with a log event
+
+    Examples:
+      | what                        | events | microseconds | running |
+      | a negative number of events | -5     | 100000       | 5       |
+      | a negative time             | 5      | -100000      | 5       |
+      | a negative load             | 5      | 100000       | -5      |
+      | no time for its events      | 5      | 0            | 5       |
+      | events of hours             | 5      | 900000000000 | 5       |
+      | a time without events       | 0      | 100000       | 0       |
+
+  # The new process may run on another machine.
+  Scenario: The speed of an engine that has restarted is unknown
+    Given engines with resumable streams and a second node
+    When a peer reports slow events of an engine, and the engine restarts
+    Then its speed is the usual one
+
+  # All nodes of a zone preferred its endpoint until it had no slot left.
+  Scenario Outline: Calls are spread over the zones only beside resumable services
+    Given <endpoints>
+    When a node makes 60 calls while one of three endpoints is in its zone
+    Then the endpoint in its zone got <least> to <most> of them
+
+    Examples:
+      | endpoints                                             | least | most |
+      | plain endpoints beside engines with resumable streams | 8     | 35   |
+      | a world with 3 plain endpoints and 1 node             | 60    | 60   |
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/endpoint_choice.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/endpoint_choice.py
@@ -4,10 +4,12 @@
 delays every other run on the engine, and runs whose memory grows as they go.
 """
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, replace
 from random import Random
 
+from turmericyard_decisions.endpoint_speed import USUAL_SPEED, EngineLoad
+
 #: Prompt tokens that an engine reads in a second, from the engines' published
 #: figures; determines the weight of prompts relative to running generations.
 PROMPT_TOKENS_PER_SECOND = 14_000.0
@@ -25,6 +27,18 @@
 COPY_MEMORY_SHARE = 1.0
 #: Share up to which memory may be filled by backups of other engines' runs.
 BACKUP_MEMORY_SHARE = 0.7
+#: Delay that is assumed for a stream that will pause for too long, in seconds:
+#: callers expect first events of long generations within 1.8 to 4 s, and a
+#: stream that pauses too long is worth as little as one that begins too late.
+LATE_STREAM_SECONDS = 1.8
+#: Endpoints of a plain service that are compared: the better one of two random
+#: ones gives nearly even loads, and nodes with the same information do not all
+#: choose the same endpoint.
+COMPARED_ENDPOINTS = 2
+#: Ratio of two expected times below which they count as equal: with fewer calls
+#: the difference is chance, and one more call of this node at an endpoint of
+#: six slots makes 1.17.
+EQUAL_RATIO = 1.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +60,7 @@
     memory_tokens: float = 0
     capacity: float = 0
     unread_tokens: float = 0
+    speed: float = USUAL_SPEED
 
     def has_room(
         self, tokens: float, share: float = FORECAST_MEMORY_SHARE
@@ -103,6 +118,102 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class PacedDemand:
+    """A generation to place by speeds; `tokens` is its memory at its end.
+
+    `pause_target` is the longest pause between two events of the streams of
+    its service, in seconds, 0 for none.
+    """
+
+    prompt_tokens: float
+    tokens: float
+    zone: str
+    pause_target: float
+    tokens_per_event: int
+
+    def engine_load(self, candidate_load: CandidateLoad) -> EngineLoad:
+        """Return what the engine of a candidate does."""
+        return EngineLoad(
+            candidate_load.running,
+            candidate_load.unread_tokens,
+            candidate_load.speed,
+            self.tokens_per_event,
+        )
+
+    def cost(self, candidate_load: CandidateLoad) -> tuple[float, float]:
+        """Return the streams that would be late at a candidate, and the delay.
+
+        The delay has the time to the first event and the risk that the stream
+        itself is late: as long as it runs, prompts of other requests are read
+        beside it, about one a second.
+        """
+        load = self.engine_load(candidate_load)
+        memory = candidate_load.memory_tokens / (candidate_load.capacity or 1)
+        alone = replace(load, unread_tokens=0) if load.unread_tokens else load
+        beside = alone.late_share(self.pause_target)
+        exposed = load.stream_seconds(self.tokens - self.prompt_tokens)
+        return (
+            load.late_streams(self.pause_target),
+            load.first_event_seconds(self.prompt_tokens)
+            + min(1, beside * exposed) * LATE_STREAM_SECONDS
+            + FULL_MEMORY_DELAY_SECONDS * min(memory, 1) ** 2
+            + OTHER_ZONE_DELAY_SECONDS * (candidate_load.zone != self.zone),
+        )
+
+
+def choose_paced_engine(
+    candidate_loads: Sequence[CandidateLoad],
+    demand: PacedDemand,
+    random: Random,
+) -> CandidateLoad | None:
+    """Return the candidate by the learned speeds, None when none fits.
+
+    Among those where all streams are expected to stay within the target, the
+    one with the least delay; if there is none, the one with the fewest late
+    streams. Whether a candidate fits does not depend on its speed, so that no
+    request is refused for it.
+    """
+    fitting = [
+        candidate_load
+        for candidate_load in candidate_loads
+        if candidate_load.has_room(demand.tokens)
+    ]
+    return min(
+        fitting,
+        key=lambda candidate_load: (
+            *demand.cost(candidate_load),
+            random.random(),
+        ),
+        default=None,
+    )
+
+
+def choose_paced_endpoint(
+    candidate_loads: Sequence[CandidateLoad],
+    seconds: Mapping[str, float],
+    random: Random,
+) -> CandidateLoad | None:
+    """Return the candidate of a plain service with the shorter expected time.
+
+    `seconds` has the expected time of each. Two random candidates with a free
+    slot are compared; None when no candidate has one. The order of the sample
+    decides between equal ones.
+    """
+    fitting = [
+        candidate_load
+        for candidate_load in candidate_loads
+        if candidate_load.running < candidate_load.slots
+    ]
+    compared = random.sample(fitting, min(COMPARED_ENDPOINTS, len(fitting)))
+    if not compared:
+        return None
+    first, other = compared[0], compared[-1]
+    if seconds[first.identity] > EQUAL_RATIO * seconds[other.identity]:
+        return other
+    return first
+
+
 def choose_service_endpoint(
     candidate_loads: Sequence[CandidateLoad], zone: str, random: Random
 ) -> CandidateLoad | None:
--- a/packages/turmericyard-node/src/turmericyard_node/deferred_imports.py
+++ b/packages/turmericyard-node/src/turmericyard_node/deferred_imports.py
@@ -12,12 +12,14 @@
 from types import ModuleType
 from typing import Any
 
-#: Modules that curio imports for its workers and for other event loops, and
-#: that websockets imports for unreleased versions.
+#: Modules that curio imports for its workers and for other event loops, that
+#: multiprocessing imports for temporary addresses, and that websockets imports
+#: for unreleased versions.
 UNUSED_BY_NODES = (
     'asyncio',
     'multiprocessing.connection',
     'importlib.metadata',
+    'tempfile',
 )
 
 
--- a/packages/turmericyard-node/src/turmericyard_node/events.py
+++ b/packages/turmericyard-node/src/turmericyard_node/events.py
@@ -57,6 +57,8 @@
     ENDPOINT_RESTS = (507, 'endpoint:rests')
     ENDPOINT_LIMITED = (508, 'endpoint:limited')
     PATH_BLOCKED = (509, 'path:blocked')
+    ENDPOINT_PACED = (520, 'endpoint:paced')
+    PACE_REFUSED = (521, 'endpoint:pace-refused')
     ORDER_GIVEN = (600, 'order:given')
     HANDLER_FAILED = (900, 'handler:failed')
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -61,6 +61,7 @@
         fleet.size,
         partial(ejected_endpoints, fleet),
         fleet.hub.findings.trials,
+        fleet.paces,
     )
     fleet.place_for_peer = endpoint_selector.place_for_peer
     fleet.end_place = endpoint_selector.placed.end
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_selector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_selector.py
@@ -16,6 +16,9 @@
 from turmericyard_decisions.trials import TrialRegistry
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.balancing.endpoint_paces import EndpointPaces
+from turmericyard_node.forwarding.balancing.learning import learns
+from turmericyard_node.forwarding.balancing.paced_choice import choose_by_pace
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.load_tracker import (
@@ -52,6 +55,8 @@
     #: Returns the identities of the endpoints that fail callers in a zone.
     ejected_endpoints: Callable[[str], Set[str]]
     trials: TrialRegistry
+    #: Learned speeds; None: not used.
+    paces: EndpointPaces | None = None
     #: What this node has placed at brittle endpoints, also for others.
     placed: PlacedRequests = field(default_factory=PlacedRequests)
     random: Random = field(default_factory=Random)
@@ -185,6 +190,16 @@
                 self.brittle_load(load, as_hub=as_hub)
                 for load in candidate_loads
             ]
+        paces = self.paces_of(service)
+        if paces is not None:
+            return choose_by_pace(
+                paces,
+                service,
+                request,
+                candidates,
+                candidate_loads,
+                self.random,
+            )
         if service.engine is None:
             return choose_service_endpoint(
                 candidate_loads, request.zone, self.random
@@ -193,6 +208,18 @@
             candidate_loads, request.tokens, request.zone, self.random
         )
 
+    def paces_of(self, service: Service) -> EndpointPaces | None:
+        """Return the speeds by which a service's endpoints are chosen, if any.
+
+        A hub places the calls of plain services with limits, and gets no
+        answers to them.
+        """
+        if not learns(self.platform_state, service):
+            return None
+        if service.engine is None and self.has_limits(service.name):
+            return None
+        return self.paces
+
     def brittle_load(
         self, load: CandidateLoad, *, as_hub: bool
     ) -> CandidateLoad:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -16,6 +16,7 @@
 from turmericyard_http.clock import Clock
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.contact import ContactTimes
+from turmericyard_node.forwarding.balancing.endpoint_paces import EndpointPaces
 from turmericyard_node.forwarding.endpoint_evidence import AnswerTally
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.hub import MILLISECONDS, Hub
@@ -72,6 +73,7 @@
     paths: EndpointPaths
     tunnels: TunnelServer
     is_ready: Callable[[], bool]
+    paces: EndpointPaces
     #: Choose places for generations and copies of other nodes.
     place_for_peer: Callable[[PlaceRequest], Endpoint | None] | None = None
     end_place: Callable[[str, str], None] | None = None
@@ -131,6 +133,7 @@
             self.hub.findings.recent(),
             self.platform_state.view.era,
             self.paths.is_cut_off,
+            self.paces.report(hub),
         )
 
     async def run_beats(self) -> None:
@@ -241,6 +244,7 @@
         update = self.hub.answer(
             sender, self.membership.zone_of(sender), payload
         )
+        self.paces.receive(sender, payload.paces)
         await self.hub.findings.receive(payload.findings)
         stale = (
             self.clock() - self.contact.last_store_contact_at > STALE_SECONDS
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
@@ -7,6 +7,7 @@
 from turmericyard_decisions.outlier import LATEST_WEIGHT, PLAIN_FLEET_WEIGHT
 from turmericyard_http.clock import boot_seconds
 from turmericyard_node.contact import ContactTimes
+from turmericyard_node.forwarding.balancing.endpoint_paces import create_paces
 from turmericyard_node.forwarding.endpoint_evidence import (
     AnswerTally,
     FleetEvidence,
@@ -88,6 +89,7 @@
         paths,
         TunnelServer(partial(is_served, paths)),
         is_not_ready,
+        create_paces(platform_state, loads, boot_seconds),
     )
     mesh.receiver = fleet.answer
     paths.relays = partial(find_relays, fleet)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/forwarder_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/forwarder_assembly.py
@@ -49,8 +49,11 @@
         run_registry,
         boot_seconds,
         instruments,
+        fleet.paces,
+    )
+    calls = CallForwarder(
+        platform_adapter, sender, room, loads, boot_seconds, fleet.paces.calls
     )
-    calls = CallForwarder(platform_adapter, sender, room, loads, boot_seconds)
     request_handler = RequestHandler(
         platform_adapter,
         fleet.platform_state,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from turmericyard_node.forwarding.application import ForwardingApplication
+from turmericyard_node.forwarding.balancing.endpoint_paces import EndpointPaces
 from turmericyard_node.forwarding.instruments import Exporter
 
 PREFIX = 'turmericyard.forwarding'
@@ -46,11 +47,23 @@
         lambda: application.clock() - application.contact.last_store_contact_at,
     )
     register_paths(application, gauges)
+    register_paces(application.fleet.paces, gauges)
     gauges.counter(
         f'{PREFIX}.loop_stalls', '{stall}', lambda: application.stalls.stalls
     )
 
 
+def register_paces(paces: EndpointPaces, gauges: Any) -> None:
+    """Register what was learned of the speeds of endpoints."""
+    gauges.gauge_by(
+        f'{PREFIX}.engine_speed', '1', 'endpoint', paces.learned_speeds
+    )
+    gauges.gauge_by(
+        f'{PREFIX}.recent_call', 's', 'endpoint', paces.calls.learned_seconds
+    )
+    gauges.counter(f'{PREFIX}.refused_paces', '{report}', lambda: paces.refused)
+
+
 def register_paths(application: ForwardingApplication, gauges: Any) -> None:
     """Register what tells of paths that lead through peers."""
     fleet = application.fleet
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from turmericyard_decisions.event_stream_joiner import EventStreamJoiner
+from turmericyard_node.forwarding.balancing.gap_meter import GapMeter
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_response import EndpointResponse
 from turmericyard_node.forwarding.job import Job
@@ -57,6 +58,7 @@
     was_established: bool = False
     longest_gap: float = 0
     longest_gap_at: float = 0
+    gap_meter: GapMeter = field(default_factory=GapMeter)
 
     def tokens(self) -> float:
         """Return the tokens that the run holds in memory now."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -14,6 +14,7 @@
 from turmericyard_http.clock import Clock
 from turmericyard_http.messages import OpaqueResponse
 from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.balancing.endpoint_paces import EndpointPaces
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_response import EndpointResponse
 from turmericyard_node.forwarding.instruments import Instruments
@@ -64,6 +65,7 @@
     run_registry: RunRegistry
     clock: Clock
     instruments: Instruments
+    paces: EndpointPaces
 
     async def forward(self, job: Job) -> Answer:
         """Return the stream of a generation, or the refusal.
@@ -276,6 +278,7 @@
         Raises StreamEnded at the end, and one of STREAM_ERRORS when the stream
         fails or ends inside an event.
         """
+        run.gap_meter.begin_wait(self.clock())
         async with curio.timeout_after(self.read_timeout(run)):
             data = await run.response.read()
         if data:
@@ -283,6 +286,7 @@
             if events:
                 was_established = run.is_established_here()
                 run.record_events(self.clock())
+                await self.paces.observe_events(run)
                 if run.is_established_here() and not was_established:
                     await self.sender.crashes.record_established(run.job)
             return events
--- a/packages/turmericyard-node/src/turmericyard_node/metrics.py
+++ b/packages/turmericyard-node/src/turmericyard_node/metrics.py
@@ -51,6 +51,7 @@
 QUEUE_BUCKETS = (0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30)
 
 ValueSource = Callable[[], float]
+ValuesSource = Callable[[], dict[str, float]]
 
 
 @dataclass(slots=True)
@@ -77,6 +78,13 @@
         read = partial(observe_source, source)
         self.meter.create_observable_gauge(name, [read], unit=unit)
 
+    def gauge_by(
+        self, name: str, unit: str, label: str, source: ValuesSource
+    ) -> None:
+        """Register values that can rise and fall, one for each label."""
+        read = partial(observe_values, source, label)
+        self.meter.create_observable_gauge(name, [read], unit=unit)
+
     def counter(self, name: str, unit: str, source: ValueSource) -> None:
         """Register a value that never decreases."""
         read = partial(observe_source, source)
@@ -90,6 +98,15 @@
     return (Observation(source()),)
 
 
+def observe_values(
+    source: ValuesSource, label: str, options: CallbackOptions
+) -> Iterable[Observation]:
+    """Return the current values of a source as observations."""
+    return [
+        Observation(found, {label: name}) for name, found in source().items()
+    ]
+
+
 def create_metrics(node: str) -> Metrics:
     """Return the instruments, exported through the Prometheus registry."""
     provider = MeterProvider(
