Spread plain calls evenly over zones in place of learned call times

Slow periods of 0.6 s are over before they are known, and the better of two random endpoints spreads the few calls of a node so that its open calls tell nothing. Change: each node prefers the endpoint at its own position among the live nodes, so that each endpoint is preferred by as many nodes in any distribution over zones. Fewest own open calls go first, then endpoints without a rejection in the last 0.5 s, then the preferred one. Call times are not kept; the metric recent_call_seconds is gone. The scenarios of call times are replaced by a table of this choice, that of zones by one with a count for each endpoint.

--- a/features/decisions/endpoint_speed.feature
+++ b/features/decisions/endpoint_speed.feature
@@ -46,12 +46,16 @@
       | 1      | 24000  | 22   | 20    |
       | 99     | 16000  | 28   | 75    |
 
-  Scenario Outline: A call is expected to take longer at an endpoint that <event>
-    When one of two endpoints that answer in 0.05 s <event>
-    Then a call there is expected to take longer for at least <seconds> s
-    And 30 s later both are expected to take the same time
+  # A node has few calls, and notices by those at one endpoint that it is busy.
+  Scenario Outline: Of three plain endpoints <why> gets the next call
+    Given a node prefers endpoint 2 of three with "<running>" open calls of its own
+    When it makes a call after a rejection by endpoint <rejected>
+    Then endpoint <chosen> gets the call
 
     Examples:
-      | event                     | seconds |
-      | rejects a call            | 0.2     |
-      | answers 3 calls in 0.15 s | 2.0     |
+      | why                              | running | rejected | chosen |
+      | the preferred one                | 0 0 0   | 3        | 2      |
+      | one without a call of the node   | 0 1 1   | 3        | 1      |
+      | one that has not just rejected   | 1 0 0   | 2        | 3      |
+      | one that rejected, if it is idle | 1 0 1   | 2        | 2      |
+      | one with a free slot             | 6 6 5   | 3        | 3      |
--- a/features/forwarding/endpoint_speeds.feature
+++ b/features/forwarding/endpoint_speeds.feature
@@ -36,13 +36,13 @@
     When a peer reports slow events of an engine, and the engine restarts
     Then its speed is the usual one
 
-  # All nodes of a zone preferred its endpoint until it had no slot left.
+  # All nodes of a zone sent their calls to its only endpoint.
   Scenario Outline: Calls are spread over the zones only beside resumable services
     Given <endpoints>
-    When a node makes 60 calls while one of three endpoints is in its zone
-    Then the endpoint in its zone got <least> to <most> of them
+    When 3 nodes make 20 calls each while one of three endpoints is in their zone
+    Then the endpoints got "<calls>" calls
 
     Examples:
-      | endpoints                                             | least | most |
-      | plain endpoints beside engines with resumable streams | 8     | 35   |
-      | a world with 3 plain endpoints and 1 node             | 60    | 60   |
+      | endpoints                                                   | calls    |
+      | plain endpoints and 3 nodes beside engines with resumable streams | 20 20 20 |
+      | a world with 3 plain endpoints and 3 nodes                  | 60 0 0   |
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/endpoint_choice.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/endpoint_choice.py
@@ -4,7 +4,7 @@
 delays every other run on the engine, and runs whose memory grows as they go.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence, Set
 from dataclasses import dataclass, replace
 from random import Random
 
@@ -31,14 +31,6 @@
 #: callers expect first events of long generations within 1.8 to 4 s, and a
 #: stream that pauses too long is worth as little as one that begins too late.
 LATE_STREAM_SECONDS = 1.8
-#: Endpoints of a plain service that are compared: the better one of two random
-#: ones gives nearly even loads, and nodes with the same information do not all
-#: choose the same endpoint.
-COMPARED_ENDPOINTS = 2
-#: Ratio of two expected times below which they count as equal: with fewer calls
-#: the difference is chance, and one more call of this node at an endpoint of
-#: six slots makes 1.17.
-EQUAL_RATIO = 1.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,29 +181,34 @@
     )
 
 
-def choose_paced_endpoint(
+def choose_preferred_endpoint(
     candidate_loads: Sequence[CandidateLoad],
-    seconds: Mapping[str, float],
+    preferred: str,
+    rejected: Set[str],
     random: Random,
 ) -> CandidateLoad | None:
-    """Return the candidate of a plain service with the shorter expected time.
+    """Return the candidate of a plain service with the fewest own calls.
 
-    `seconds` has the expected time of each. Two random candidates with a free
-    slot are compared; None when no candidate has one. The order of the sample
-    decides between equal ones.
+    Candidates that have just `rejected` a call come later, among the
+    others the `preferred` one first. A node with few calls notices only by its
+    open calls and by rejections that an endpoint is busy.
+    Returns None when no candidate has a free slot.
     """
     fitting = [
         candidate_load
         for candidate_load in candidate_loads
         if candidate_load.running < candidate_load.slots
     ]
-    compared = random.sample(fitting, min(COMPARED_ENDPOINTS, len(fitting)))
-    if not compared:
-        return None
-    first, other = compared[0], compared[-1]
-    if seconds[first.identity] > EQUAL_RATIO * seconds[other.identity]:
-        return other
-    return first
+    return min(
+        fitting,
+        key=lambda candidate_load: (
+            candidate_load.running / candidate_load.slots,
+            candidate_load.identity in rejected,
+            candidate_load.identity != preferred,
+            random.random(),
+        ),
+        default=None,
+    )
 
 
 def choose_service_endpoint(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/balancing/endpoint_paces.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/balancing/endpoint_paces.py
@@ -9,8 +9,8 @@
 )
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
-from turmericyard_node.forwarding.balancing.call_occupancies import (
-    CallOccupancies,
+from turmericyard_node.forwarding.balancing.call_preferences import (
+    CallPreferences,
 )
 from turmericyard_node.forwarding.balancing.gap_meter import GAPS
 from turmericyard_node.forwarding.balancing.learning import learns, start_of
@@ -50,13 +50,13 @@
 class EndpointPaces:
     """Learned speeds of engines, by identity, and what is kept for the hubs.
 
-    `calls` has the occupancy of plain endpoints.
+    `calls` tells where calls to plain services go first.
     """
 
     platform_state: PlatformState
     loads: LoadTracker
     clock: Clock
-    calls: CallOccupancies
+    calls: CallPreferences
     speeds: dict[str, KnownSpeed] = field(default_factory=dict)
     reports: PaceReports = field(default_factory=PaceReports)
     #: Reports of peers that were ignored, for the metrics.
@@ -207,5 +207,5 @@
 ) -> EndpointPaces:
     """Return the speeds of a node that has not observed any endpoint."""
     return EndpointPaces(
-        platform_state, loads, clock, CallOccupancies(platform_state, clock)
+        platform_state, loads, clock, CallPreferences(platform_state, clock)
     )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/balancing/paced_choice.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/balancing/paced_choice.py
@@ -6,8 +6,8 @@
 from turmericyard_decisions.endpoint_choice import (
     CandidateLoad,
     PacedDemand,
-    choose_paced_endpoint,
     choose_paced_engine,
+    choose_preferred_endpoint,
 )
 from turmericyard_node.forwarding.balancing.endpoint_paces import EndpointPaces
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
@@ -26,11 +26,12 @@
 ) -> CandidateLoad | None:
     """Return the load of the best candidate, None when none has room."""
     if service.engine is None:
-        running = {load.identity: load.running for load in candidate_loads}
-        seconds = paces.calls.expected_seconds(
-            list(candidates.values()), running
+        return choose_preferred_endpoint(
+            candidate_loads,
+            paces.calls.preferred(service.name),
+            paces.calls.recently_rejected(),
+            random,
         )
-        return choose_paced_endpoint(candidate_loads, seconds, random)
     demand = PacedDemand(
         request.prompt_tokens,
         request.tokens,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
@@ -7,8 +7,8 @@
 from turmericyard_http.answer_writer import Answer
 from turmericyard_http.clock import Clock
 from turmericyard_http.messages import OpaqueResponse
-from turmericyard_node.forwarding.balancing.call_occupancies import (
-    CallOccupancies,
+from turmericyard_node.forwarding.balancing.call_preferences import (
+    CallPreferences,
 )
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_response import EndpointResponse
@@ -44,7 +44,7 @@
     room: WaitingRoom
     loads: LoadTracker
     clock: Clock
-    occupancies: CallOccupancies
+    preferences: CallPreferences
 
     async def forward(self, job: Job) -> Answer:
         """Return the answer to a call, trying endpoints until one answers."""
@@ -58,7 +58,7 @@
             outcome = await self.call_endpoint(job, endpoint, runs + 1)
             job.excluded_endpoints.add(endpoint.identity)
             if isinstance(outcome, NotRun):
-                self.occupancies.observe_rejection(endpoint)
+                self.preferences.observe_rejection(endpoint)
                 rejections += 1
                 continue
             runs += 1
@@ -129,9 +129,6 @@
             return MayHaveRun(repr(error))
         finally:
             await response.close()
-        self.occupancies.observe_call(
-            endpoint, self.clock() - ends_at + seconds
-        )
         if response.ends_with_connection:
             await self.sender.crashes.record_unframed_answer(job, endpoint)
         else:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet_assembly.py
@@ -91,12 +91,24 @@
         is_not_ready,
         create_paces(platform_state, loads, boot_seconds),
     )
+    fleet.paces.calls.own = own.node
+    fleet.paces.calls.zones = partial(zones_of_nodes, fleet)
     mesh.receiver = fleet.answer
     paths.relays = partial(find_relays, fleet)
     mesh.serve_tunnel = fleet.tunnels.serve
     return fleet
 
 
+def zones_of_nodes(fleet: Fleet) -> dict[str, str]:
+    """Return the zones of the live nodes by name, this one included."""
+    members = fleet.membership.members
+    return {
+        node: members[node].zone
+        for node in (*fleet.live_members(), fleet.own.node)
+        if node in members
+    }
+
+
 def evidence_weight(platform_state: PlatformState, identity: str) -> float:
     """Return the weight of an endpoint's latest answer to any node."""
     endpoint = platform_state.registry.endpoints.get(identity)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
@@ -58,9 +58,6 @@
     gauges.gauge_by(
         f'{PREFIX}.engine_speed', '1', 'endpoint', paces.learned_speeds
     )
-    gauges.gauge_by(
-        f'{PREFIX}.recent_call', 's', 'endpoint', paces.calls.learned_seconds
-    )
     gauges.counter(f'{PREFIX}.refused_paces', '{report}', lambda: paces.refused)
 
 
