--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/balancing/paced_choice.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/balancing/paced_choice.py
@@ -1,13 +1,12 @@
 """Chooses endpoints by their learned speeds."""
 
-from dataclasses import replace
 from random import Random
 
 from turmericyard_decisions.endpoint_choice import (
     CandidateLoad,
     PacedDemand,
-    choose_paced_endpoint,
     choose_paced_engine,
+    choose_preferred_endpoint,
 )
 from turmericyard_node.forwarding.balancing.endpoint_paces import EndpointPaces
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
@@ -26,11 +25,12 @@
 ) -> CandidateLoad | None:
     """Return the load of the best candidate, None when none has room."""
     if service.engine is None:
-        running = {load.identity: load.running for load in candidate_loads}
-        seconds = paces.calls.expected_seconds(
-            list(candidates.values()), running
+        return choose_preferred_endpoint(
+            candidate_loads,
+            paces.calls.preferred(service.name),
+            paces.calls.recently_rejected(),
+            random,
         )
-        return choose_paced_endpoint(candidate_loads, seconds, random)
     demand = PacedDemand(
         request.prompt_tokens,
         request.tokens,
@@ -38,11 +38,12 @@
         pause_target(paces.platform_state, service.name),
         service.engine.tokens_per_event,
     )
-    paced_loads = [
-        replace(load, speed=paces.speed(candidates[load.identity]))
-        for load in candidate_loads
-    ]
-    return choose_paced_engine(paced_loads, demand, random)
+    return choose_paced_engine(
+        candidate_loads,
+        lambda identity: paces.speed(candidates[identity]),
+        demand,
+        random,
+    )
 
 
 def pause_target(platform_state: PlatformState, service: str) -> float:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
@@ -7,8 +7,8 @@
 from turmericyard_http.answer_writer import Answer
 from turmericyard_http.clock import Clock
 from turmericyard_http.messages import OpaqueResponse
-from turmericyard_node.forwarding.balancing.call_occupancies import (
-    CallOccupancies,
+from turmericyard_node.forwarding.balancing.call_preferences import (
+    CallPreferences,
 )
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_response import EndpointResponse
@@ -47,7 +47,7 @@
     room: WaitingRoom
     loads: LoadTracker
     clock: Clock
-    occupancies: CallOccupancies
+    preferences: CallPreferences
     #: Sends late requests to a second endpoint; None when that is off.
     hedger: Hedger | None = None
 
@@ -128,7 +128,7 @@
             self.loads.end(load)
             await self.room.placement.release(job, endpoint.identity)
         if isinstance(outcome, NotRun):
-            self.occupancies.observe_rejection(endpoint)
+            self.preferences.observe_rejection(endpoint)
         return outcome
 
     async def exchange(
@@ -158,9 +158,6 @@
             return MayHaveRun(repr(error))
         finally:
             await response.close()
-        self.occupancies.observe_call(
-            endpoint, self.clock() - ends_at + seconds
-        )
         if response.ends_with_connection:
             await self.sender.crashes.record_unframed_answer(job, endpoint)
         else:
