Send late requests that may be repeated to a second endpoint

Cause: one slow endpoint makes the requests that it gets late.

Ruled out: a fixed delay and a quantile by route (docs/design/hedging.md). A copy of the job for the second run: strikes and attempts would be counted apart. Changing the time limit of a run that has begun: curio cannot move a timeout, so that a hedged run has the time until the deadline and is cancelled after the limit of the attempt when no hedge is sent. Hedging every late request at an endpoint that never answers: all would be cancelled and the endpoint never ejected; each fourth one is not hedged.

Change: `[hedging] share` in deploy/node.ini, 0 by default: then no hedger is created and calls take the same path as before. Times are learned by service, class of prompt length and endpoint (ddsketch). The decision compares a late request with those sent to other endpoints after it. The placing node of a request is recorded by endpoint, since two endpoints may have it at a time. Metrics `hedges`, `hedges_refused`; events 405 to 407.

--- /dev/null
+++ b/features/steps/forwarding_hedging_steps.py
@@ -0,0 +1,213 @@
+"""Steps for hedged requests."""
+
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import curio
+from behave import given, then, when
+from behave.runner import Context
+from eliot import add_destinations, remove_destination
+
+from steps.forwarding_metrics_steps import counted
+from support.fleet.scenario import PROMPT, all_cancelled, all_runs, run
+from support.fleet.world import World
+from turmericyard_node.forwarding.options import HedgingOptions, NodeOptions
+
+ATTEMPTS = 2
+EVENTS = 5
+PAUSE_SECONDS = 0.02
+LATE = 'i-0'
+LATE_SECONDS = 1.0
+
+
+@given(
+    'a share of {share:g} may be hedged, and {count:d} "{target}" requests were'
+    ' answered'
+)
+def step_share(context: Context, share: float, count: int, target: str) -> None:
+    build = context.build
+
+    async def with_options(world: World) -> None:
+        world.options = NodeOptions(HedgingOptions(share))
+        await build(world)
+        for number in range(count):
+            await ask(world, target, f'early-{number}')
+        for runner in world.runners.values():
+            runner.ran.clear()
+
+    context.build = with_options
+
+
+async def ask(world: World, target: str, attempt: str):
+    for runner in world.runners.values():
+        runner.length = EVENTS
+    prompt = PROMPT if target == '/stream/' else {}
+    return await world.ask('n-0', f'{target}{attempt}', attempt, **prompt)
+
+
+def slow_down(
+    world: World, identities: list[str], target: str, seconds: float
+) -> None:
+    for identity in identities:
+        runner = world.runners[identity]
+        if target == '/stream/':
+            runner.head_seconds = seconds
+        else:
+            runner.event_seconds = seconds
+
+
+@contextmanager
+def hedges_won() -> Iterator[list[str]]:
+    """Collect the attempts whose hedge was answered first, from the log."""
+    won: list[str] = []
+
+    def collect(message: dict[str, Any]) -> None:
+        if message.get('outcome') == 'won':
+            won.append(message['attempt'])
+
+    add_destinations(collect)
+    try:
+        yield won
+    finally:
+        remove_destination(collect)
+
+
+@when(
+    '"{target}" requests are made until {count:d} are hedged, as one endpoint'
+    ' is late'
+)
+def step_until(context: Context, target: str, count: int) -> None:
+    async def scenario(world: World) -> None:
+        slow_down(world, [LATE], target, LATE_SECONDS)
+        with hedges_won() as won:
+            await make_requests(
+                context, world, target, lambda: len(won) >= count
+            )
+        context.hedged = won
+        # A run that was not cancelled would end within this time.
+        await curio.sleep(LATE_SECONDS)
+        node = world.nodes['n-0']
+        context.late = node.platform_state.registry.endpoints[LATE]
+        context.strikes = node.fleet.hub.findings.strikes.strikes
+        context.runs_left = len(node.run_copier.run_registry.runs)
+        context.loads_left = len(node.fleet.loads.own)
+
+    run(context, scenario)
+
+
+@when(
+    '{count:d} "{target}" requests are made while {endpoints} endpoint takes'
+    ' {seconds:g} seconds'
+)
+def step_requests(
+    context: Context, count: int, target: str, endpoints: str, seconds: float
+) -> None:
+    async def scenario(world: World) -> None:
+        late = list(world.runners) if endpoints == 'each' else [LATE]
+        slow_down(world, late, target, seconds)
+        started = iter(range(count))
+        await make_requests(
+            context, world, target, lambda: next(started, None) is None
+        )
+
+    run(context, scenario)
+
+
+async def make_requests(
+    context: Context, world: World, target: str, is_enough: Any
+) -> None:
+    asking = []
+    while not is_enough():
+        attempt = f'at-{len(asking)}'
+        asking.append(await curio.spawn(ask, world, target, attempt))
+        await curio.sleep(PAUSE_SECONDS)
+    context.answers = [await each.join() for each in asking]
+
+
+@then('the hedged requests were answered and their first runs cancelled')
+def step_hedged(context: Context) -> None:
+    late = context.world.runners[LATE]
+    ended = set(late.ran) - set(late.cancelled)
+    answers = {
+        answer.headers['x-turmericyard-attempt-id']: answer
+        for answer in context.answers
+    }
+    for attempt in context.hedged:
+        assert answers[attempt].status == 200
+        assert answers[attempt].seconds < LATE_SECONDS, answers[attempt]
+        assert attempt not in ended
+
+
+@then('the late endpoint has no failure, and no request a strike')
+def step_no_failure(context: Context) -> None:
+    assert context.late.evidence.failure_share == 0, context.late.evidence
+    assert not context.strikes
+
+
+@then('the metrics count hedges that were sent and won')
+def step_metrics(context: Context) -> None:
+    sent = counted(context, 'hedges_total', outcome='sent')
+    won = counted(context, 'hedges_total', outcome='won')
+    # A response that a busy machine delays may be hedged in vain.
+    assert sent >= won >= len(context.hedged), (sent, won, context.hedged)
+
+
+@then('at most {count:d} requests ran twice')
+def step_at_most(context: Context, count: int) -> None:
+    runs = Counter(all_runs(context.world))
+    twice = [attempt for attempt, ran in runs.items() if ran > 1]
+    assert len(twice) <= count, twice
+    assert {each.status for each in context.answers} == {200}
+
+
+@then('no request ran at more endpoints than its attempts')
+def step_attempts(context: Context) -> None:
+    runs = Counter(all_runs(context.world))
+    assert max(runs.values()) <= ATTEMPTS, runs
+
+
+@then('each stream was complete and each of its events came once')
+def step_streams(context: Context) -> None:
+    for answer in context.answers:
+        lines = answer.body.split(b'\n')
+        found = [each for each in lines if each.startswith(b'id: ')]
+        assert answer.whole, answer
+        assert found == [b'id: %d' % (each + 1) for each in range(EVENTS)]
+
+
+@then('no run is left at the node')
+def step_none_left(context: Context) -> None:
+    assert (context.runs_left, context.loads_left) == (0, 0)
+
+
+@when('a client leaves a call that runs at two endpoints')
+def step_leave(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        slow_down(world, [LATE], '/read/', 1)
+        asking = []
+        world.runners[LATE].ran.clear()
+        while not world.runners[LATE].ran:
+            number = len(asking)
+            asking.append(
+                await curio.spawn(ask, world, '/read/', f'at-{number}')
+            )
+            await curio.sleep(PAUSE_SECONDS)
+        slow_down(world, list(world.runners), '/read/', 1)
+        attempt = world.runners[LATE].ran[0]
+        await world.until(lambda: all_runs(world).count(attempt) == ATTEMPTS)
+        context.attempt = attempt
+        for task in asking:
+            await task.cancel()
+        await world.until(
+            lambda: all_cancelled(world).count(attempt) == ATTEMPTS, 2
+        )
+
+    run(context, scenario)
+
+
+@then('both runs are cancelled')
+def step_cancelled(context: Context) -> None:
+    cancelled = all_cancelled(context.world)
+    assert cancelled.count(context.attempt) == ATTEMPTS, cancelled
--- a/features/support/fleet/world.py
+++ b/features/support/fleet/world.py
@@ -21,6 +21,7 @@
 from turmericyard_http.server import HttpServer, open_listener
 from turmericyard_node.forwarding.application import ForwardingApplication
 from turmericyard_node.forwarding.assembly import create_forwarding
+from turmericyard_node.forwarding.options import NodeOptions
 from turmericyard_ports.settings import Bounds, ForwardingSettings
 
 HOST = 'shop.example'
@@ -119,6 +120,8 @@
     beats: Iterator[int] = field(default_factory=count)
     #: How long a runner is away that crashed.
     crash_seconds: float = CRASH_SECONDS
+    #: Options of the nodes that are added.
+    options: NodeOptions = field(default_factory=NodeOptions)
 
     async def serve(self, name: str, handler: Any, port: int = 0) -> str:
         listener = open_listener(LOOPBACK, port or free_port())
@@ -204,7 +207,7 @@
             1.0,
             Bounds(grace_seconds=4),
         )
-        node = create_forwarding(settings, create_border())
+        node = create_forwarding(settings, create_border(), self.options)
         self.nodes[name] = node
         await node.start()
         return node
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -73,7 +73,7 @@
     )
     tasks = BackgroundTasks()
     request_handler, run_copier = create_forwarders(
-        platform_adapter, settings, fleet, room, tasks
+        platform_adapter, settings, fleet, room, tasks, options or NodeOptions()
     )
     application = ForwardingApplication(
         settings,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
@@ -9,6 +9,9 @@
 from turmericyard_http.messages import OpaqueResponse
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_response import EndpointResponse
+from turmericyard_node.forwarding.hedging.call_contest import CallContest
+from turmericyard_node.forwarding.hedging.hedged_request import run_hedged
+from turmericyard_node.forwarding.hedging.hedger import Hedger
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.load_tracker import LoadTracker, RequestLoad
 from turmericyard_node.forwarding.sending import MayHaveRun, NotRun, Sender
@@ -41,6 +44,8 @@
     room: WaitingRoom
     loads: LoadTracker
     clock: Clock
+    #: Sends late requests to a second endpoint; None when that is off.
+    hedger: Hedger | None = None
 
     async def forward(self, job: Job) -> Answer:
         """Return the answer to a call, trying endpoints until one answers."""
@@ -51,13 +56,14 @@
             endpoint = await self.place(job)
             if not isinstance(endpoint, Endpoint):
                 return last_answer or endpoint
-            outcome = await self.call_endpoint(job, endpoint, runs + 1)
+            outcomes = await self.run_at(job, endpoint, runs)
             job.excluded_endpoints.add(endpoint.identity)
-            if isinstance(outcome, NotRun):
-                rejections += 1
+            ran = [each for each in outcomes if not isinstance(each, NotRun)]
+            rejections += len(outcomes) - len(ran)
+            if not ran:
                 continue
-            runs += 1
-            last_answer = self.to_answer(job, outcome)
+            runs += len(ran)
+            last_answer = self.to_answer(job, ran[-1])
             if last_answer.status < SERVER_ERROR:
                 return last_answer
         return last_answer or self.refuse(
@@ -91,27 +97,46 @@
             return False
         return job.seconds_left(self.clock()) > 0
 
+    async def run_at(
+        self, job: Job, endpoint: Endpoint, earlier_runs: int
+    ) -> list[Answer | NotRun | MayHaveRun]:
+        """Return the outcomes of a request at an endpoint, and of a hedge."""
+        limit = self.attempt_timeout(job, earlier_runs + 1)
+        if self.hedger is None or not self.hedger.applies(job):
+            return [await self.call_endpoint(job, endpoint, limit)]
+        contest = CallContest(self, job, earlier_runs, limit)
+        return await run_hedged(self.hedger, job, endpoint, contest)
+
     async def call_endpoint(
-        self, job: Job, endpoint: Endpoint, attempt: int
+        self,
+        job: Job,
+        endpoint: Endpoint,
+        seconds: float,
+        connect_seconds: float | None = None,
     ) -> Answer | NotRun | MayHaveRun:
         """Send the request to an endpoint and count its load until the outcome."""
         load = self.loads.begin(RequestLoad(endpoint.identity))
         try:
-            return await self.exchange(job, endpoint, attempt)
+            return await self.exchange(job, endpoint, seconds, connect_seconds)
         finally:
             self.loads.end(load)
             await self.room.placement.release(job, endpoint.identity)
 
     async def exchange(
-        self, job: Job, endpoint: Endpoint, attempt: int
+        self,
+        job: Job,
+        endpoint: Endpoint,
+        seconds: float,
+        connect_seconds: float | None,
     ) -> Answer | NotRun | MayHaveRun:
         """Send the request and read the complete answer within the time limit.
 
         Returns the reason when there is no complete answer.
         """
-        seconds = self.attempt_timeout(job, attempt)
         ends_at = self.clock() + seconds
-        response = await self.sender.send(job, endpoint, seconds)
+        response = await self.sender.send(
+            job, endpoint, seconds, connect_seconds=connect_seconds
+        )
         if not isinstance(response, EndpointResponse):
             return response
         try:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_response.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_response.py
@@ -42,6 +42,8 @@
     address: str
     connection: ClientConnection
     head: ResponseHead
+    #: Bytes of the body that were read before the response was passed on.
+    read_ahead: bytes = b''
 
     @property
     def succeeded(self) -> bool:
@@ -56,11 +58,19 @@
 
     async def read(self) -> bytes:
         """Return the next bytes of the body, as `read_piece` does."""
-        return await self.connection.read_piece()
+        ahead = self.take_read_ahead()
+        return ahead or await self.connection.read_piece()
 
     async def read_all(self) -> bytes:
         """Return the remaining body; raises as `read` does."""
-        return await self.connection.read_rest()
+        ahead = self.take_read_ahead()
+        return ahead + await self.connection.read_rest()
+
+    def take_read_ahead(self) -> bytes:
+        """Return the bytes that were read before, once."""
+        ahead = self.read_ahead
+        self.read_ahead = b''
+        return ahead
 
     async def close(self) -> None:
         """Close the connection."""
@@ -73,14 +83,16 @@
     incoming: IncomingRequest,
     lines: Headers,
     seconds: float,
+    connect_seconds: float | None = None,
 ) -> Result[EndpointResponse, HttpError]:
     """Connect, send a request and return its response.
 
     `seconds` limits the exchange after connecting, which takes at most that
-    time or `CONNECT_SECONDS`, whichever is shorter.
+    time, `connect_seconds` or `CONNECT_SECONDS`, whichever is shortest.
     """
+    connect_limit = min(seconds, connect_seconds or CONNECT_SECONDS)
     try:
-        async with curio.timeout_after(min(seconds, CONNECT_SECONDS)):
+        async with curio.timeout_after(min(connect_limit, CONNECT_SECONDS)):
             connection = await connect(address, USER_TIMEOUT_SECONDS)
     except curio.TaskTimeout:
         return Failure(NotSent(address, 'connect timeout'))
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/exporter.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/exporter.py
@@ -18,6 +18,8 @@
     DROPPED,
     FIRST_SECONDS,
     GAP_SECONDS,
+    HEDGES,
+    HEDGES_REFUSED,
     SENDS,
     STREAMS,
     WAIT_SECONDS,
@@ -31,7 +33,15 @@
     bucket_view,
 )
 
-COUNTERS = (ANSWERS, SENDS, STREAMS, COPIES, DROPPED)
+COUNTERS = (
+    ANSWERS,
+    SENDS,
+    STREAMS,
+    COPIES,
+    HEDGES,
+    HEDGES_REFUSED,
+    DROPPED,
+)
 #: Bucket bounds of each histogram, in seconds.
 HISTOGRAM_BUCKETS = (
     (ANSWER_SECONDS, FIRST_TOKEN_BUCKETS),
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/forwarder_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/forwarder_assembly.py
@@ -6,7 +6,9 @@
 from turmericyard_node.forwarding.copies import CopyCleaner
 from turmericyard_node.forwarding.crash_detector import CrashDetector
 from turmericyard_node.forwarding.fleet import Fleet
+from turmericyard_node.forwarding.hedging.hedger import create_hedger
 from turmericyard_node.forwarding.moves import RunCopier
+from turmericyard_node.forwarding.options import NodeOptions
 from turmericyard_node.forwarding.request_handler import RequestHandler
 from turmericyard_node.forwarding.runs import RunRegistry
 from turmericyard_node.forwarding.sending import Sender
@@ -23,6 +25,7 @@
     fleet: Fleet,
     room: WaitingRoom,
     tasks: BackgroundTasks,
+    options: NodeOptions,
 ) -> tuple[RequestHandler, RunCopier]:
     """Return the parts that forward requests and move their runs."""
     loads = fleet.loads
@@ -35,6 +38,7 @@
         instruments,
         CrashDetector(fleet.hub.findings, tasks, fleet.paths),
     )
+    hedger = create_hedger(options.hedging.share, sender, room, tasks)
     run_registry = RunRegistry(loads)
     cleaner = CopyCleaner(platform_adapter, tasks, fleet.paths)
     stream_failover = StreamFailover(
@@ -49,8 +53,11 @@
         run_registry,
         boot_seconds,
         instruments,
+        hedger,
+    )
+    calls = CallForwarder(
+        platform_adapter, sender, room, loads, boot_seconds, hedger
     )
-    calls = CallForwarder(platform_adapter, sender, room, loads, boot_seconds)
     request_handler = RequestHandler(
         platform_adapter,
         fleet.platform_state,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/instruments.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/instruments.py
@@ -21,6 +21,8 @@
 FIRST_SECONDS = 'turmericyard.forwarding.first_event'
 GAP_SECONDS = 'turmericyard.forwarding.longest_gap'
 COPIES = 'turmericyard.forwarding.copies'
+HEDGES = 'turmericyard.forwarding.hedges'
+HEDGES_REFUSED = 'turmericyard.forwarding.hedges_refused'
 DROPPED = 'turmericyard.forwarding.dropped_measurements'
 #: Measurements kept until the first scrape: those of a busy node for some
 #: minutes, a few megabytes.
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
@@ -41,8 +41,8 @@
     run_count: int = 0
     #: Id of the last event that the client has, '' at the start of a stream.
     resume_after: str = ''
-    #: The node that placed it last, for itself or as a hub.
-    placed_by: str = ''
+    #: The node that placed it, for itself or as a hub, by endpoint.
+    placed_by: dict[str, str] = field(default_factory=dict)
     #: Its broken answers of which it is not known whether the endpoint crashed.
     unexplained_breaks: int = 0
     #: The strikes against its marks when it was sent last.
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
@@ -51,7 +51,7 @@
             return self.place_alone(job, as_hub=hub == self.fleet.own.node)
         if not reply.endpoint:
             return None
-        job.placed_by = hub
+        job.placed_by[reply.endpoint] = hub
         endpoint = self.usable_endpoint(reply)
         if (
             endpoint is None
@@ -72,13 +72,14 @@
 
     def place_alone(self, job: Job, *, as_hub: bool) -> Endpoint | None:
         """Return the endpoint that this node chooses for a request."""
-        job.placed_by = self.fleet.own.node
-        return self.endpoint_selector.place(job, as_hub=as_hub)
+        endpoint = self.endpoint_selector.place(job, as_hub=as_hub)
+        if endpoint is not None:
+            job.placed_by[endpoint.identity] = self.fleet.own.node
+        return endpoint
 
     async def release(self, job: Job, identity: str) -> None:
         """Tell the hub that placed a call at a brittle endpoint that it ended."""
-        hub = job.placed_by
-        job.placed_by = ''
+        hub = job.placed_by.pop(identity, '')
         if hub == self.fleet.own.node:
             self.endpoint_selector.placed.end(identity, job.attempt)
         elif hub and self.endpoint_selector.is_brittle(job.service.name):
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -99,8 +99,12 @@
         *,
         backup: Endpoint | None = None,
         copied: Continuation | None = None,
+        connect_seconds: float | None = None,
     ) -> EndpointResponse | NotRun | MayHaveRun:
-        """Send a request and return the answer, or why there is none."""
+        """Send a request and return the answer, or why there is none.
+
+        `connect_seconds` limits the time for connecting further.
+        """
         now = self.clock()
         if job.send_count:
             self.budget(job.service.name).spend(now)
@@ -126,6 +130,7 @@
                 job.incoming, forwarding_context
             ),
             seconds,
+            connect_seconds,
         )
         send_outcome = await self.classify(job, endpoint, result)
         self.instruments.record_send(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -16,6 +16,11 @@
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_response import EndpointResponse
+from turmericyard_node.forwarding.hedging.hedged_request import run_hedged
+from turmericyard_node.forwarding.hedging.hedger import Hedger
+from turmericyard_node.forwarding.hedging.stream_contest import (
+    StreamContest,
+)
 from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.load_tracker import LoadTracker, RequestLoad
@@ -64,6 +69,8 @@
     run_registry: RunRegistry
     clock: Clock
     instruments: Instruments
+    #: Sends late requests to a second endpoint; None when that is off.
+    hedger: Hedger | None = None
 
     async def forward(self, job: Job) -> Answer:
         """Return the stream of a generation, or the refusal.
@@ -111,7 +118,22 @@
 
     async def begin(self, job: Job, endpoint: Endpoint) -> Answer | NotRun:
         """Send the request to an endpoint and open its stream."""
-        backup = await self.stream_failover.choose_backup(job, endpoint)
+        if self.hedger is None or not self.hedger.applies(job):
+            outcome = await self.run_at(job, endpoint)
+        else:
+            contest = StreamContest(self, job, job.run_count)
+            outcomes = await run_hedged(self.hedger, job, endpoint, contest)
+            ran = [each for each in outcomes if not isinstance(each, NotRun)]
+            outcome = (ran or outcomes)[-1]
+        return self.open(outcome) if isinstance(outcome, Run) else outcome
+
+    async def run_at(
+        self, job: Job, endpoint: Endpoint, *, with_backup: bool = True
+    ) -> Run | Answer | NotRun:
+        """Return the run of a request at an endpoint, or another outcome."""
+        backup = None
+        if with_backup:
+            backup = await self.stream_failover.choose_backup(job, endpoint)
         prompt = job.prompt_tokens()
         load = self.loads.begin(
             RequestLoad(endpoint.identity, prompt, job.memory_tokens(), prompt)
@@ -137,7 +159,7 @@
                 run.last_progress_at = self.clock()
                 self.run_registry.begin(run)
                 started = True
-                return self.open(run)
+                return run
         finally:
             if not started:
                 self.loads.end(load)
