Check a configuration of the platform before it is sent

Cause: nodes accept a configuration whose routes can never match or whose limits contradict each other, and read over fields that they do not know. The operator learns of it by failed requests. `tables check` found broken references in the project's own tables only.

Ruled out: rejecting such values at the nodes: a value that is in force elsewhere must stay readable. A digest of changed workspace keys in the comparison: it would let guesses be checked, so that only their number is shown.

Change: `tables check-configuration FILE` lists errors, entries without effect, contradictions and unknown fields, and compares with the value in force where a store is given. `tables check` also lists rows without effect and the changes; `--strict` makes warnings end with status 3. The adapter names the configuration's key, opens a store by address and lists ignored fields (appended to the protocol). Nothing is written.

Also: the test of hedged streams checks that the cancelled run never began at its engine.

--- a/features/operator/commands.feature
+++ b/features/operator/commands.feature
@@ -14,6 +14,18 @@
     When the operator runs "tables apply ROUTES POOLS"
     Then its JSON output has "changes" 0
 
+  # Nothing else tells of a row that no request can reach.
+  Scenario: The check names rows without effect and the changes, and writes nothing
+    Given the operator has run "tables apply ROUTES POOLS"
+    And the pools file has a pool that no route names, without endpoints
+    When the operator runs "tables check ROUTES POOLS"
+    Then the command ends with status 0
+    And its JSON output has 2 findings at "[pool spare]" and 1 change
+    When the operator runs "tables check ROUTES POOLS --strict"
+    Then the command ends with status 3
+    When the operator runs "tables show"
+    Then its JSON output has "revision" 1
+
   Scenario: All faults of the tables are listed at once and nothing is written
     Given the pools file has a row for an unknown pool and a duplicate address
     When the operator runs "tables apply ROUTES POOLS"
--- a/features/steps/forwarding_hedging_steps.py
+++ b/features/steps/forwarding_hedging_steps.py
@@ -138,6 +138,8 @@
         assert answers[attempt].status == 200
         assert answers[attempt].seconds < LATE_SECONDS, answers[attempt]
         assert attempt not in ended
+        # A stream begins when its endpoint has taken its time to the head.
+        assert attempt not in late.begun
 
 
 @then('the late endpoint has no failure, and no request a strike')
--- a/features/steps/operator_commands_steps.py
+++ b/features/steps/operator_commands_steps.py
@@ -73,6 +73,15 @@
     )
 
 
+@given('the pools file has a pool that no route names, without endpoints')
+def step_spare_pool(context: Context) -> None:
+    path = Path(context.files['POOLS'])
+    path.write_text(
+        f'{path.read_text()}\n[pool spare]\nproducts = booking\n'
+        'kind = service\ncold_limit = 1\nlimit = 2\n'
+    )
+
+
 @given('the store is down')
 def step_down(context: Context) -> None:
     context.store.control(down=True)
@@ -108,6 +117,14 @@
     assert json.loads(context.ended.stdout)[key] == number
 
 
+@then('its JSON output has {count:d} findings at "{place}" and 1 change')
+def step_findings(context: Context, count: int, place: str) -> None:
+    shown = json.loads(context.ended.stdout)
+    places = [each['place'] for each in shown['findings']]
+    assert places == [place] * count, shown
+    assert [each['row'] for each in shown['changes']] == ['pool spare'], shown
+
+
 @then('its JSON output has no "{key}"')
 def step_empty(context: Context, key: str) -> None:
     assert not json.loads(context.ended.stdout)[key], context.ended.stdout
--- /dev/null
+++ b/packages/turmericyard-operator/src/turmericyard_operator/checking/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of a configuration before it is put in force; nothing is changed."""
--- a/packages/turmericyard-operator/src/turmericyard_operator/tables.py
+++ b/packages/turmericyard-operator/src/turmericyard_operator/tables.py
@@ -7,6 +7,12 @@
 import curio
 from returns.result import Success
 
+from turmericyard_operator.checking.command import (
+    check_configuration,
+    strict_option,
+)
+from turmericyard_operator.checking.findings import has_errors
+from turmericyard_operator.checking.table_findings import find_in_tables
 from turmericyard_operator.edits import (
     create_edit_id,
     read_stored,
@@ -40,14 +46,46 @@
 @tables.command()
 @routes_argument
 @pools_argument
+@strict_option
 @pass_session
-def check(session: Session, routes: Path, pools: Path) -> None:
-    """Check both files and list every fault; no store is needed."""
+def check(
+    session: Session,
+    routes: Path,
+    pools: Path,
+    strict: bool,  # noqa: FBT001
+) -> None:
+    """Check both files, list every fault and what has no effect.
+
+    With a store, the changes to the tables in force are listed too. Nothing is
+    changed.
+    """
     rows = read_files(routes, pools)
     checked = configure(Document(rows), 0)
     if not isinstance(checked, Success):
         fail(ExitStatus.INVALID, checked.failure().message)
-    session.show({'valid': True, 'rows': len(rows)}, f'{len(rows)} rows valid')
+    findings = find_in_tables(checked.unwrap())
+    changes = None
+    if session.settings.store:
+        stored = curio.run(read_stored, session)[0].rows
+        changes = diff_rows(base_rows(routes, stored), rows)
+    lines = [f'{len(rows)} rows valid', *(each.text() for each in findings)]
+    lines.extend(map(change_text, changes or ()))
+    session.show(
+        {
+            'valid': True,
+            'rows': len(rows),
+            'findings': [each.values() for each in findings],
+            'changes': None
+            if changes is None
+            else [change_values(each) for each in changes],
+        },
+        '\n'.join(lines),
+    )
+    if has_errors(findings, strict=strict):
+        fail(ExitStatus.INVALID, 'the tables have warnings: see above')
+
+
+tables.add_command(check_configuration)
 
 
 @tables.command()
--- a/packages/turmericyard-ports/src/turmericyard_ports/border.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/border.py
@@ -26,6 +26,17 @@
     #: Store prefixes below which the platform publishes its data.
     operator_prefix: str
     endpoint_prefix: str
+    #: Key of the configuration.
+    configuration_key: str
+
+    def open_store_at(self, address: str) -> Store:
+        """Return a client of the platform's store at `ip:port`."""
+
+    def ignored_configuration_fields(self, value: bytes) -> tuple[str, ...]:
+        """Return the places of fields of a configuration that have no effect.
+
+        `value` is a valid configuration.
+        """
 
     def read_configuration(
         self, key: str, value: bytes
