Let requests of all nodes wait in one queue at the hub

Cause: with a queue at each node, an urgent request at one node waits while less urgent ones of other nodes take the room, and every waiting request asks the hub each 0.05 s.

Change: for services of resumable routes with engines, nodes of form 2 send one PlaceRequest and wait for a PlaceOffer. The hub places waiting requests in rounds of 0.025 s by turmericyard_decisions.placing_round, and takes back places that are not used. A node moves its requests to the next hub when one gives no reply or its link ends. A hub treats its engines as full until it has heartbeats of all live nodes, or was a hub for 1.1 s. The end of a run is sent to the hub at once (PlaceEnd and a heartbeat). PlaceRequest has a further field, hold_ms. Hubs and nodes of form 1, and all other services, keep the path of before.

--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/admission/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet-wide admission queue: at the hub, and at nodes that wait there."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
@@ -93,6 +93,7 @@
             self.discovery.run_membership,
             self.discovery.run_seeds,
             self.room.run,
+            self.room.placement.queue.hub_queue.run,
             self.stalls.run,
             self.poll.run,
             self.act_on_news,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -4,6 +4,9 @@
 
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.tasks import BackgroundTasks
+from turmericyard_node.forwarding.admission.assembly import (
+    create_node_queue,
+)
 from turmericyard_node.forwarding.application import ForwardingApplication
 from turmericyard_node.forwarding.discovery import Discovery, other_seeds
 from turmericyard_node.forwarding.endpoint_evidence import ejected_in_zone
@@ -67,7 +70,12 @@
     fleet.copy_place_for_peer = endpoint_selector.place_copy
     instruments = create_instruments()
     room = WaitingRoom(
-        HubPlacement(fleet, endpoint_selector, boot_seconds),
+        HubPlacement(
+            fleet,
+            endpoint_selector,
+            boot_seconds,
+            create_node_queue(fleet, endpoint_selector),
+        ),
         boot_seconds,
         instruments,
     )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
@@ -43,6 +43,8 @@
     resume_after: str = ''
     #: The node that placed it last, for itself or as a hub.
     placed_by: str = ''
+    #: The endpoint at which the queue of that node placed it, '' for none.
+    queue_place: str = ''
     #: Its broken answers of which it is not known whether the endpoint crashed.
     unexplained_breaks: int = 0
     #: The strikes against its marks when it was sent last.
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
@@ -14,6 +14,7 @@
 
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.admission.node_queue import NodeQueue
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_selector import EndpointSelector
 from turmericyard_node.forwarding.fleet import Fleet
@@ -37,6 +38,7 @@
     fleet: Fleet
     endpoint_selector: EndpointSelector
     clock: Clock
+    queue: NodeQueue
 
     async def place(self, job: Job) -> Endpoint | None:
         """Return the endpoint for a request, None when none has room."""
@@ -70,6 +72,14 @@
         )
         return endpoint
 
+    def queue_for(self, job: Job) -> NodeQueue | None:
+        """Return the queue for a request whose service has one."""
+        return self.queue if self.queue.is_enabled(job) else None
+
+    async def end_queue_place(self, job: Job) -> None:
+        """Tell the hub that a request no longer uses the place it gave."""
+        await self.queue.release(job)
+
     def place_alone(self, job: Job, *, as_hub: bool) -> Endpoint | None:
         """Return the endpoint that this node chooses for a request."""
         job.placed_by = self.fleet.own.node
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
@@ -10,6 +10,7 @@
 
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.admission.waiting_requests import WaitTimes
 from turmericyard_node.forwarding.copies import CopyCleaner
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_response import EndpointResponse
@@ -43,6 +44,7 @@
     async def continue_elsewhere(self, run: Run, detail: str) -> bool:
         """Continue a run at another endpoint; return whether that worked."""
         await run.response.close()
+        await self.placement.end_queue_place(run.job)
         if run.job.seconds_left(self.clock()) <= 0:
             return False
         if not self.sender.crashes.may_continue(
@@ -150,10 +152,17 @@
                 )
                 return True
             await response.close()
+        await self.placement.end_queue_place(job)
         return False
 
     async def find_room(self, job: Job) -> Endpoint | None:
         """Return an endpoint for a broken stream; None if none has room soon."""
+        queue = self.placement.queue_for(job)
+        if queue is not None:
+            times = WaitTimes(ROOM_SECONDS, 0, ROOM_SECONDS)
+            found = await queue.find(job, times)
+            if found is not None:
+                return found if isinstance(found, Endpoint) else None
         until = min(self.clock() + ROOM_SECONDS, job.deadline_at)
         while True:
             endpoint = await self.placement.place(job)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -91,7 +91,11 @@
         endpoint = await self.room.acquire(job)
         if isinstance(endpoint, NotPlaced):
             return self.refuse(endpoint.detail, endpoint.retry_after_seconds)
-        return self.sender.refuse_crashing(job) or endpoint
+        refusal = self.sender.refuse_crashing(job)
+        if refusal is not None:
+            await self.room.placement.end_queue_place(job)
+            return refusal
+        return endpoint
 
     def may_begin(self, job: Job, answer: Answer | None) -> bool:
         """Return whether the request may be sent, after an answer or before."""
@@ -142,6 +146,7 @@
             if not started:
                 self.loads.end(load)
                 self.loads.end(backup_load)
+                await self.room.placement.end_queue_place(job)
         return await self.answer_without_stream(job, endpoint, response)
 
     async def answer_without_stream(
@@ -249,6 +254,7 @@
     async def end(self, run: Run, outcome: str, started_at: float) -> None:
         """Close a run's stream, count it and log how it ended."""
         self.run_registry.end(run)
+        await self.room.placement.end_queue_place(run.job)
         self.instruments.record_stream(
             run.job.service.name,
             outcome.partition(':')[0],
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
@@ -9,6 +9,8 @@
 
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.admission.node_queue import QueueRefusal
+from turmericyard_node.forwarding.admission.waiting_requests import WaitTimes
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.job import Job
@@ -18,6 +20,8 @@
 POLL_SECONDS = 0.05
 #: Share of the latency target for which a request waits for room.
 WAIT_SHARE = 0.7
+#: Latency targets after which clients give up a stream without an event.
+LATE_TARGETS = 4
 #: Window of the placement rate, from which waiting times are estimated, in
 #: seconds.
 RATE_WINDOW_SECONDS = 4.0
@@ -87,6 +91,15 @@
             return self.refuse(
                 job, 'all endpoints asked this node to back off', back_off
             )
+        queue = self.placement.queue_for(job)
+        if queue is not None:
+            found = await queue.find(job, self.wait_times(job, limit))
+            if isinstance(found, QueueRefusal):
+                return self.refuse(
+                    job, found.detail, retry=found.retry_after_seconds
+                )
+            if found is not None:
+                return found
         if not self.has_waiters_ahead(job):
             endpoint = await self.placement.place(job)
             if endpoint is not None:
@@ -127,6 +140,19 @@
         waited = now - job.incoming.arrived_at
         return max(0, min(target - waited, job.seconds_left(now) / 2))
 
+    def wait_times(self, job: Job, limit: float) -> WaitTimes:
+        """Return how long a request of a service with a queue may wait.
+
+        It has to be expected to be on time to be queued. Once it is, it is held
+        as long as the client waits for a first event: an answer that is late is
+        worth more than a refusal after a wait.
+        """
+        now = self.clock()
+        waited = now - job.incoming.arrived_at
+        longest = job.route.latency_target_seconds * WAIT_SHARE * LATE_TARGETS
+        hold = max(0, min(longest - waited, job.seconds_left(now) / 2))
+        return WaitTimes(limit or hold, waited, hold)
+
     def expected_wait(self, job: Job) -> float:
         """Return the expected wait by the recent placement rate, in seconds."""
         ahead = sum(
@@ -143,11 +169,14 @@
         recent = sum(now - time < RATE_WINDOW_SECONDS for time in times)
         return RATE_WINDOW_SECONDS / max(1, recent)
 
-    def refuse(self, job: Job, detail: str, back_off: float = 0) -> NotPlaced:
+    def refuse(
+        self, job: Job, detail: str, back_off: float = 0, retry: float = 0
+    ) -> NotPlaced:
         """Log that a request is not placed, and return the refusal.
 
         The retry-after time is the expected wait, or follows the end of the
-        back-off of all endpoints, which `back_off` gives in seconds.
+        back-off of all endpoints, which `back_off` gives in seconds. A `retry`
+        time that the queue of the hub gave is passed on as it is.
         """
         interval = self.placement_interval(job.service.name)
         expected = self.expected_wait(job) + interval
@@ -164,6 +193,7 @@
                     *BACK_OFF_JITTER
                 )
             )
+        retry_after = retry or retry_after
         log_event(
             Event.REQUEST_NOT_PLACED,
             attempt=job.attempt,
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -247,7 +247,9 @@
     awaited before another request with them is placed. `priority` is that of
     the workspace and that of the route, 0 first. A request that may wait at the
     hub gives `wait_ms`, the time that it may still wait, and `waited_ms`, the
-    time that it has waited. `route` and `workspace` tell whose it is.
+    time that it has waited. `route` and `workspace` tell whose it is. A request
+    that was queued is held for `hold_ms`, which may be longer than `wait_ms`:
+    an answer after the latency target is still worth more than a refusal.
     """
 
     service: str
@@ -262,6 +264,7 @@
     route: str = ''
     wait_ms: int = 0
     waited_ms: int = 0
+    hold_ms: int = 0
 
 
 class CopyPlaceRequest(Message, frozen=True):
