--- a/features/forwarding/fleet_queue.feature
+++ b/features/forwarding/fleet_queue.feature
@@ -21,6 +21,12 @@
     When 5 requests of one node wait and their clients disconnect
     Then the hub has no request, no place and no load
 
+  Scenario: The metrics of the hub count waiting requests and places
+    Given a fleet of 1 nodes with a queue
+    And the metrics are read at the end
+    When 3 requests wait at the end
+    Then the metrics count 3 queued requests of rank "2.0" and workspace "usual"
+
   Scenario Outline: There is no queue <where>
     Given a fleet of 3 nodes with a queue
     When a stream is requested <where>
--- a/features/steps/forwarding_fleet_queue_steps.py
+++ b/features/steps/forwarding_fleet_queue_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from msgspec.structs import replace
+from prometheus_client.parser import text_string_to_metric_families
 
 from support.fleet.scenario import PROMPT, all_runs, build, run
 from support.fleet.world import World, manifest
@@ -49,7 +50,7 @@
         route.update(targetLatencyMs=2500, timeoutMs=20_000)
     world.store.put('op/config', configuration)
     await build('engines', 4, nodes, world)
-    await world.until(lambda: len(hubs(world)) == HUBS)
+    await world.until(lambda: len(hubs(world)) == min(HUBS, nodes))
     await curio.sleep(KNOWN_SECONDS)
     for runner in world.runners.values():
         runner.length = 2
@@ -177,6 +178,46 @@
     run(context, scenario)
 
 
+@when('{count:d} requests wait at the end')
+def step_wait_at_end(context: Context, count: int) -> None:
+    read_metrics = context.afterwards
+
+    async def scenario(world: World) -> None:
+        context.room = no_room()
+        context.room.start()
+        for number in range(count):
+            await ask(world, 'n-0', f'at-{number}')
+        queue = queue_of(world, 'n-0')
+        await world.until(lambda: len(queue.messages) == count)
+
+    async def read(current: Context) -> None:
+        try:
+            await read_metrics(current)
+        finally:
+            context.room.stop()
+
+    context.afterwards = read
+    run(context, scenario)
+
+
+@then(
+    'the metrics count {count:d} queued requests of rank "{rank}" and workspace'
+    ' "{name}"'
+)
+def step_queued_metric(
+    context: Context, count: int, rank: str, name: str
+) -> None:
+    labels = {'service': 'engines', 'rank': rank, 'workspace': name}
+    found = [
+        sample.value
+        for family in text_string_to_metric_families(context.metrics)
+        for sample in family.samples
+        if sample.name == 'turmericyard_forwarding_queued'
+        and labels.items() <= sample.labels.items()
+    ]
+    assert found == [count], context.metrics
+
+
 def keep_state(context: Context, hub: str) -> None:
     """Keep what the hub has of the queue."""
     queue = queue_of(context.world, hub)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
@@ -3,6 +3,9 @@
 from importlib import import_module
 from typing import Any
 
+from turmericyard_node.forwarding.admission.queue_gauges import (
+    register_queue,
+)
 from turmericyard_node.forwarding.application import ForwardingApplication
 from turmericyard_node.forwarding.instruments import Exporter
 
@@ -46,6 +49,7 @@
         lambda: application.clock() - application.contact.last_store_contact_at,
     )
     register_paths(application, gauges)
+    register_queue(application.room.placement.queue.hub_queue, gauges)
     gauges.counter(
         f'{PREFIX}.loop_stalls', '{stall}', lambda: application.stalls.stalls
     )
--- a/packages/turmericyard-node/src/turmericyard_node/metrics.py
+++ b/packages/turmericyard-node/src/turmericyard_node/metrics.py
@@ -51,6 +51,8 @@
 QUEUE_BUCKETS = (0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30)
 
 ValueSource = Callable[[], float]
+#: Returns values with their labels.
+LabelledSource = Callable[[], list[tuple[float, dict[str, str]]]]
 
 
 @dataclass(slots=True)
@@ -77,6 +79,11 @@
         read = partial(observe_source, source)
         self.meter.create_observable_gauge(name, [read], unit=unit)
 
+    def labelled(self, name: str, unit: str, source: LabelledSource) -> None:
+        """Register values that can rise and fall, each with its labels."""
+        read = partial(observe_labelled, source)
+        self.meter.create_observable_gauge(name, [read], unit=unit)
+
     def counter(self, name: str, unit: str, source: ValueSource) -> None:
         """Register a value that never decreases."""
         read = partial(observe_source, source)
@@ -90,6 +97,13 @@
     return (Observation(source()),)
 
 
+def observe_labelled(
+    source: LabelledSource, options: CallbackOptions
+) -> Iterable[Observation]:
+    """Return the current values of a source as observations."""
+    return [Observation(amount, labels) for amount, labels in source()]
+
+
 def create_metrics(node: str) -> Metrics:
     """Return the instruments, exported through the Prometheus registry."""
     provider = MeterProvider(
