--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
@@ -3,6 +3,9 @@
 from importlib import import_module
 from typing import Any
 
+from turmericyard_node.forwarding.admission.queue_gauges import (
+    register_queue,
+)
 from turmericyard_node.forwarding.application import ForwardingApplication
 from turmericyard_node.forwarding.balancing.endpoint_paces import EndpointPaces
 from turmericyard_node.forwarding.instruments import Exporter
@@ -48,6 +51,7 @@
     )
     register_paths(application, gauges)
     register_paces(application.fleet.paces, gauges)
+    register_queue(application.room.placement.queue.hub_queue, gauges)
     gauges.counter(
         f'{PREFIX}.loop_stalls', '{stall}', lambda: application.stalls.stalls
     )
