Bound the cost of the queue's rounds

A hub out of reach was dialled without a time limit. Places of ended nodes were only forgotten while requests waited.

Ruled out: fewer requests in a round (large ones would no longer be seen); rounds at a fixed longer pause (delays each offer also with few engines).

Change: the free room is read once for all requests that are not placed, late requests are looked for at the time of the next change only, and the pause follows the cost of a round, up to 0.5 s. A hub out of reach within 0.12 s is passed over. Granted places expire in each pass of the loop.

--- a/packages/turmericyard-decisions/src/turmericyard_decisions/admission_queue.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/admission_queue.py
@@ -7,6 +7,7 @@
 requests the one with the least time left.
 """
 
+import math
 from bisect import insort
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -73,6 +74,12 @@
             return (self.rank, Turn.LATE)
         return (self.rank, Turn.RETURNED if self.returned else Turn.NEW)
 
+    def next_change(self, now: float) -> float:
+        """Return when the request is late, or may not be held any longer."""
+        if now < self.on_time_until:
+            return self.on_time_until
+        return self.held_until
+
 
 #: Requests of a lane by workspace, those with the least time left first.
 WaitingByWorkspace = dict[str, list[QueuedRequest]]
@@ -95,6 +102,8 @@
     places: dict[Key, Lane] = field(default_factory=dict)
     lanes: dict[Lane, WaitingByWorkspace] = field(default_factory=dict)
     served: dict[Rank, DecayedSum] = field(default_factory=dict)
+    #: Earliest time at which a request is late or must not be held any longer.
+    next_change: float = math.inf
 
     def __len__(self) -> int:
         return len(self.requests)
@@ -103,6 +112,7 @@
         """Add a request; one with the same key is replaced."""
         self.remove(request.key)
         lane = request.lane(now)
+        self.next_change = min(self.next_change, request.next_change(now))
         self.requests[request.key] = request
         self.places[request.key] = lane
         workspaces = self.lanes.setdefault(lane, {})
@@ -142,12 +152,19 @@
 
         Moves those that can no longer be on time to their lane.
         """
+        if now < self.next_change:
+            return []
+        self.next_change = math.inf
         overdue = []
         for request in tuple(self.requests.values()):
             if now >= request.held_until:
                 self.remove(request.key)
                 overdue.append(request)
-            elif request.lane(now) != self.places[request.key]:
+            elif request.lane(now) == self.places[request.key]:
+                self.next_change = min(
+                    self.next_change, request.next_change(now)
+                )
+            else:
                 self.add(request, now)
         return overdue
 
--- a/packages/turmericyard-decisions/src/turmericyard_decisions/placing_round.py
+++ b/packages/turmericyard-decisions/src/turmericyard_decisions/placing_round.py
@@ -62,6 +62,18 @@
     blocked: list[QueuedRequest] = field(default_factory=list)
     smallest: float = math.inf
     failures: int = 0
+    #: The free room since the last placement, None while it is not read.
+    free: list[FreeRoom] | None = None
+
+    def rooms(self) -> list[FreeRoom]:
+        """Return the free room of each endpoint.
+
+        It is read once for all requests that are not placed: with 1,600
+        endpoints that takes milliseconds.
+        """
+        if self.free is None:
+            self.free = self.endpoints.rooms()
+        return self.free
 
     def consider(self, request: QueuedRequest) -> None:
         """Place a request if there is room for it."""
@@ -70,6 +82,9 @@
         if request.tokens >= self.smallest and is_free and not holds:
             self.blocked.append(request)
             return
+        if not self.has_room(request):
+            self.block(request, is_free=is_free and not holds)
+            return
         if self.is_kept_back(request):
             self.kept_back.add(request.key)
             self.failures += 1
@@ -78,21 +93,33 @@
         if identity:
             self.admission.place(request.key, self.now)
             self.placed.append((request, identity))
+            self.free = None
             self.hold_for_passed(request)
             return
         self.failures += not holds
-        if is_free and not holds:
+        self.block(request, is_free=is_free and not holds)
+
+    def block(self, request: QueuedRequest, *, is_free: bool) -> None:
+        """Note a request without room; a free one may use all endpoints."""
+        if is_free:
             self.smallest = request.tokens
             self.blocked.append(request)
 
+    def has_room(self, request: QueuedRequest) -> bool:
+        """Return whether an endpoint that the request may use has room."""
+        held = self.held_from(request)
+        return any(
+            room.places(request.tokens)
+            for room in self.rooms()
+            if room.identity not in held
+        )
+
     def is_kept_back(self, request: QueuedRequest) -> bool:
         """Return whether a request would use room kept for more urgent ones."""
         reserve = reserve_for(self.admission.demand, request.rank, self.now)
         if not reserve.places:
             return False
-        rooms = self.endpoints.rooms()
-        fits = any(room.places(request.tokens) for room in rooms)
-        return fits and not leaves_reserve(rooms, request.tokens, reserve)
+        return not leaves_reserve(self.rooms(), request.tokens, reserve)
 
     def held_from(self, request: QueuedRequest) -> tuple[str, ...]:
         """Return the endpoints for which other requests wait.
@@ -116,7 +143,7 @@
         ]
         if not passed:
             return
-        rooms = self.endpoints.rooms()
+        rooms = self.rooms()
         if len(holds) >= math.ceil(len(rooms) / ENDPOINTS_PER_HOLD):
             return
         free = [room for room in rooms if room.identity not in holds.values()]
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/admission/hub_queue.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/admission/hub_queue.py
@@ -36,9 +36,13 @@
     QueueLeave,
 )
 
-#: Pause between two rounds while requests wait, in seconds. A round needs no
-#: message; at 40 a second its cost stays below a hundredth of a core.
+#: Least and longest pause between two rounds while requests wait, in seconds. A
+#: round needs no message.
 ROUND_SECONDS = 0.025
+MAX_ROUND_SECONDS = 0.5
+#: Pause for each second that a round takes, in seconds: with 1,600 endpoints a
+#: round takes milliseconds, and a node may use 1.2% of a core for control.
+PAUSE_FACTOR = 100
 #: Interval at which the hub notes its role, in seconds.
 ROLE_SECONDS = 0.5
 #: Time below which a place was not used, in seconds: an engine rejected the
@@ -64,6 +68,8 @@
     messages: dict[Key, PlaceRequest] = field(default_factory=dict)
     #: Time of the last round of each service.
     round_at: dict[str, float] = field(default_factory=dict)
+    #: Pause before the next round, in seconds.
+    pause: float = ROUND_SECONDS
     waiting: curio.Event = field(default_factory=curio.Event)
 
     def is_enabled(self, service: str) -> bool:
@@ -122,7 +128,7 @@
         rounds, and late replies.
         """
         since = now - self.round_at.get(service, -math.inf)
-        return since < ROUND_SECONDS and bool(self.admission(service).queue)
+        return since < self.pause and bool(self.admission(service).queue)
 
     async def let_wait(
         self,
@@ -244,19 +250,28 @@
         """Place and expire waiting requests until cancelled."""
         while True:
             self.load.observe_role()
+            self.expire_places()
             async with curio.ignore_after(ROLE_SECONDS):
                 await self.waiting.wait()
                 self.waiting.clear()
             while self.messages:
-                await curio.sleep(ROUND_SECONDS)
+                await curio.sleep(self.pause)
+                began_at = self.clock()
                 await self.run_round()
+                cost = PAUSE_FACTOR * (self.clock() - began_at)
+                self.pause = min(max(ROUND_SECONDS, cost), MAX_ROUND_SECONDS)
+
+    def expire_places(self) -> None:
+        """Forget the places of nodes that have ended."""
+        for place in self.granted.expire(self.clock()):
+            demand = self.admission(place.service).demand
+            demand.record_return(place.request)
 
     async def run_round(self) -> None:
         """Place waiting requests and refuse those that waited too long."""
         now = self.clock()
-        for place in self.granted.expire(now):
-            demand = self.admission(place.service).demand
-            demand.record_return(place.request)
+        self.load.observe_role()
+        self.expire_places()
         for service, admission in tuple(self.services.items()):
             for request, verdict in admission.expire(now):
                 self.messages.pop(request.key, None)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/admission/node_queue.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/admission/node_queue.py
@@ -22,7 +22,6 @@
 from turmericyard_node.forwarding.endpoint_selector import EndpointSelector
 from turmericyard_node.forwarding.fleet import Fleet
 from turmericyard_node.forwarding.job import Job
-from turmericyard_node.peers.mesh import form_of
 from turmericyard_protocol.fleet_messages import (
     PlaceEnd,
     PlaceOffer,
@@ -30,7 +29,7 @@
     PlaceRequest,
     QueueLeave,
 )
-from turmericyard_protocol.forms import FIRST_FORM
+from turmericyard_protocol.forms import FIRST_FORM, FORM
 
 #: Time limit of a request to a hub, in seconds.
 HUB_SECONDS = 0.12
@@ -90,7 +89,11 @@
         """
         began_at = self.clock()
         for hub in self.fleet.hub_choice.in_preference_order():
-            if hub != self.own and not await self.knows_queue(hub):
+            form = await self.form_of_hub(hub)
+            if form is None:
+                await self.lose(hub)
+                continue
+            if form == FIRST_FORM:
                 return None
             left = times.after(self.clock() - began_at)
             found = await self.find_at(hub, job, left)
@@ -103,13 +106,14 @@
         """Return the name of this node."""
         return self.fleet.own.node
 
-    async def knows_queue(self, hub: str) -> bool:
-        """Return whether a hub is of form 2; one out of reach counts as such."""
+    async def form_of_hub(self, hub: str) -> int | None:
+        """Return the message form of a hub, None when it is out of reach."""
+        if hub == self.own:
+            return FORM
+        link = None
         async with curio.ignore_after(HUB_SECONDS):
-            await self.fleet.mesh.link_to(hub)
-        if hub not in self.fleet.mesh.links:
-            return True
-        return form_of(self.fleet.mesh, hub) > FIRST_FORM
+            link = await self.fleet.mesh.link_to(hub)
+        return None if link is None else link.channel.form
 
     async def find_at(
         self, hub: str, job: Job, times: WaitTimes
