Test that slow clients and delayed events do not change a measured gap

Cause: no test failed when gaps were counted in which the client kept the node from reading, which makes engines look slow. Ruled out: a test by a slow client over the network, whose times depend on the load of the machine. Change: a table of examples for the meter of gaps.

--- a/features/forwarding/endpoint_speeds.feature
+++ b/features/forwarding/endpoint_speeds.feature
@@ -15,6 +15,19 @@
     Then no node has learned a speed or reported one
     And random placements are the same as without learned speeds
 
+  # A client that reads slowly must not make an engine look slow, nor must a
+  # prompt that delays one event.
+  Scenario Outline: The gap between events with <what>
+    When events arrive after waits of "<waits>" ms and the client takes "<reads>" ms for each
+    Then the measured gap is <gap> ms
+
+    Examples:
+      | what                        | waits                   | reads       | gap  |
+      | equal gaps                  | 30 30 30 30 30 30       | 0 0 0 0 0 0 | 30   |
+      | one gap that is delayed     | 30 30 90 30 31 30       | 0 0 0 0 0 0 | 30   |
+      | too few gaps                | 30 30 30 30 30          | 0 0 0 0 0   | none |
+      | a client that reads slowly  | 30 5 5 5 5 5            | 60 60 60 60 60 60 | none |
+
   # A peer's bug must not make engines look useless.
   Scenario Outline: A report with <what> is ignored
     Given engines with resumable streams and a second node
--- a/features/steps/forwarding_endpoint_speeds_steps.py
+++ b/features/steps/forwarding_endpoint_speeds_steps.py
@@ -14,6 +14,7 @@
 from support.fleet.world import World, manifest
 from turmericyard_decisions.endpoint_speed import USUAL_SPEED
 from turmericyard_node.events import Event
+from turmericyard_node.forwarding.balancing.gap_meter import GapMeter
 from turmericyard_node.forwarding.endpoint_selector import EndpointSelector
 from turmericyard_node.forwarding.load_tracker import LoadTotal
 from turmericyard_protocol.fleet_messages import EndpointPace, PlaceRequest
@@ -151,6 +152,28 @@
     assert len(found) == count, context.metrics
 
 
+@when(
+    'events arrive after waits of "{waits}" ms and the client takes "{reads}"'
+    ' ms for each'
+)
+def step_gaps(context: Context, waits: str, reads: str) -> None:
+    meter = GapMeter()
+    now = 0.0
+    context.gap = None
+    pairs = zip(waits.split(), reads.split(), strict=True)
+    for number, (wait, read) in enumerate(pairs, 1):
+        meter.begin_wait(now)
+        now += float(wait)
+        context.gap = meter.observe(SLOW, number, now) or context.gap
+        now += float(read)
+
+
+@then('the measured gap is {gap} ms')
+def step_gap(context: Context, gap: str) -> None:
+    expected = None if gap == 'none' else float(gap)
+    assert context.gap == expected, context.gap
+
+
 @when(
     'a peer reports {events:d} events in {microseconds:d} microseconds with'
     ' {running:d} running'
