Load hedging only where it is enabled

Cause: a node imported the modules of hedging and ddsketch with a share of 0: more modules than the bound on what a start may import, and on the platform no start at all, since the deployed packages lack ddsketch. The scenarios of the queue stop placing where both choices of an engine begin, so that they hold with learned speeds too.

--- a/features/steps/forwarding_fleet_queue_steps.py
+++ b/features/steps/forwarding_fleet_queue_steps.py
@@ -12,11 +12,11 @@
 
 from support.fleet.scenario import PROMPT, all_runs, build, run
 from support.fleet.world import World, manifest
-from turmericyard_node.forwarding import endpoint_selector
 from turmericyard_node.forwarding.admission.granted_places import (
     EXPIRY_SECONDS,
 )
 from turmericyard_node.forwarding.admission.queue_input import read_request
+from turmericyard_node.forwarding.endpoint_selector import EndpointSelector
 from turmericyard_node.forwarding.hub import GRANT_SECONDS
 from turmericyard_node.forwarding.hub_choice import HUBS
 from turmericyard_protocol.fleet_messages import (
@@ -69,7 +69,7 @@
 
 
 def no_room() -> Any:
-    return patch.object(endpoint_selector, 'choose_engine', return_value=None)
+    return patch.object(EndpointSelector, 'choose', return_value=None)
 
 
 async def ask(world: World, node: str, attempt: str, **headers: str) -> Any:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
@@ -1,6 +1,7 @@
 """Forwards requests with a single complete answer, idempotent or not."""
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import curio
 
@@ -12,9 +13,6 @@
 )
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_response import EndpointResponse
-from turmericyard_node.forwarding.hedging.call_contest import CallContest
-from turmericyard_node.forwarding.hedging.hedged_request import run_hedged
-from turmericyard_node.forwarding.hedging.hedger import Hedger
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.load_tracker import LoadTracker, RequestLoad
 from turmericyard_node.forwarding.sending import MayHaveRun, NotRun, Sender
@@ -22,6 +20,9 @@
 from turmericyard_ports.border import PlatformAdapter
 from turmericyard_ports.configuration import RepeatPolicy
 
+if TYPE_CHECKING:
+    from turmericyard_node.forwarding.hedging.hedging import Hedging
+
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
@@ -49,7 +50,7 @@
     clock: Clock
     preferences: CallPreferences
     #: Sends late requests to a second endpoint; None when that is off.
-    hedger: Hedger | None = None
+    hedging: 'Hedging | None' = None
 
     async def forward(self, job: Job) -> Answer:
         """Return the answer to a call, trying endpoints until one answers."""
@@ -106,10 +107,11 @@
     ) -> list[Answer | NotRun | MayHaveRun]:
         """Return the outcomes of a request at an endpoint, and of a hedge."""
         limit = self.attempt_timeout(job, earlier_runs + 1)
-        if self.hedger is None or not self.hedger.applies(job):
+        if self.hedging is None or not self.hedging.applies(job):
             return [await self.call_endpoint(job, endpoint, limit)]
-        contest = CallContest(self, job, earlier_runs, limit)
-        return await run_hedged(self.hedger, job, endpoint, contest)
+        return await self.hedging.run_call(
+            self, job, endpoint, earlier_runs, limit
+        )
 
     async def call_endpoint(
         self,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/forwarder_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/forwarder_assembly.py
@@ -1,12 +1,13 @@
 """Creates the parts of a node that forward requests and move their runs."""
 
+from importlib import import_module
+
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.tasks import BackgroundTasks
 from turmericyard_node.forwarding.calls import CallForwarder
 from turmericyard_node.forwarding.copies import CopyCleaner
 from turmericyard_node.forwarding.crash_detector import CrashDetector
 from turmericyard_node.forwarding.fleet import Fleet
-from turmericyard_node.forwarding.hedging.hedger import create_hedger
 from turmericyard_node.forwarding.moves import RunCopier
 from turmericyard_node.forwarding.options import NodeOptions
 from turmericyard_node.forwarding.request_handler import RequestHandler
@@ -38,7 +39,13 @@
         instruments,
         CrashDetector(fleet.hub.findings, tasks, fleet.paths),
     )
-    hedger = create_hedger(options.hedging.share, sender, room, tasks)
+    hedging = None
+    if options.hedging.share:
+        # Imports decide how soon a node on a small machine serves.
+        module = import_module('turmericyard_node.forwarding.hedging.hedging')
+        hedging = module.create_hedging(
+            options.hedging.share, sender, room, tasks
+        )
     run_registry = RunRegistry(loads)
     cleaner = CopyCleaner(platform_adapter, tasks, fleet.paths)
     stream_failover = StreamFailover(
@@ -54,7 +61,7 @@
         boot_seconds,
         instruments,
         fleet.paces,
-        hedger,
+        hedging,
     )
     calls = CallForwarder(
         platform_adapter,
@@ -63,7 +70,7 @@
         loads,
         boot_seconds,
         fleet.paces.calls,
-        hedger,
+        hedging,
     )
     request_handler = RequestHandler(
         platform_adapter,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hedging/hedger.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hedging/hedger.py
@@ -96,10 +96,8 @@
 
 def create_hedger(
     share: float, sender: Sender, room: WaitingRoom, tasks: BackgroundTasks
-) -> Hedger | None:
-    """Return the hedger of a node, None with a share of 0."""
-    if not share:
-        return None
+) -> Hedger:
+    """Return the hedger of a node for a share of its requests."""
     return Hedger(
         create_hedging_policy(share),
         sender,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import curio
 
@@ -17,11 +18,6 @@
 from turmericyard_node.forwarding.balancing.endpoint_paces import EndpointPaces
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_response import EndpointResponse
-from turmericyard_node.forwarding.hedging.hedged_request import run_hedged
-from turmericyard_node.forwarding.hedging.hedger import Hedger
-from turmericyard_node.forwarding.hedging.stream_contest import (
-    StreamContest,
-)
 from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.load_tracker import LoadTracker, RequestLoad
@@ -31,6 +27,9 @@
 from turmericyard_node.forwarding.waiting import NotPlaced, WaitingRoom
 from turmericyard_ports.border import PlatformAdapter
 
+if TYPE_CHECKING:
+    from turmericyard_node.forwarding.hedging.hedging import Hedging
+
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
@@ -72,7 +71,7 @@
     instruments: Instruments
     paces: EndpointPaces
     #: Sends late requests to a second endpoint; None when that is off.
-    hedger: Hedger | None = None
+    hedging: 'Hedging | None' = None
 
     async def forward(self, job: Job) -> Answer:
         """Return the stream of a generation, or the refusal.
@@ -125,13 +124,10 @@
 
     async def begin(self, job: Job, endpoint: Endpoint) -> Answer | NotRun:
         """Send the request to an endpoint and open its stream."""
-        if self.hedger is None or not self.hedger.applies(job):
+        if self.hedging is None or not self.hedging.applies(job):
             outcome = await self.run_at(job, endpoint)
         else:
-            contest = StreamContest(self, job, job.run_count)
-            outcomes = await run_hedged(self.hedger, job, endpoint, contest)
-            ran = [each for each in outcomes if not isinstance(each, NotRun)]
-            outcome = (ran or outcomes)[-1]
+            outcome = await self.hedging.run_stream(self, job, endpoint)
         return self.open(outcome) if isinstance(outcome, Run) else outcome
 
     async def run_at(
