--- /dev/null
+++ b/features/support/untrusted/__init__.py
@@ -0,0 +1,1 @@
+"""A node as a process of its own, and clients that no one controls."""
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -1,8 +1,9 @@
 """Runs feature files in parallel and joins their reports and logs.
 
 Each file runs in a behave process of its own, with its own ports, report and
-logs. The files that take longest start first. Exit status: 0 when every
-process reported only passed scenarios, 1 otherwise.
+logs. The files that take longest start first. Files tagged `@alone` run one at
+a time after all others: what they measure does not bear other load. Exit
+status: 0 when every process reported only passed scenarios, 1 otherwise.
 """
 
 import argparse
@@ -20,6 +21,8 @@
 
 ROOT = Path(__file__).parents[1]
 FEATURES = ROOT / 'features'
+#: First line of a file that runs alone.
+ALONE_TAG = '@alone'
 FORMATTER = 'support.error_report:ErrorReport'
 #: Run times of the longest features in seconds, in a run of all features on six
 #: busy cores. Features that are not listed count as 0.
@@ -80,6 +83,25 @@
     return LONG_FEATURES.get('/'.join(feature.parts[-2:]), 0)
 
 
+def runs_alone(feature: Path) -> bool:
+    """Return whether the file's first line is the tag `@alone`."""
+    lines = feature.read_text(encoding='utf-8').splitlines()
+    return lines[:1] == [ALONE_TAG]
+
+
+def run_features(features: list[Path], workers: int) -> list[FeatureRun]:
+    """Run files, as many as there are workers at the same time."""
+    free_workers: SimpleQueue[int] = SimpleQueue()
+    for worker in range(workers):
+        free_workers.put(worker)
+    with ThreadPoolExecutor(workers) as pool:
+        return list(
+            pool.map(
+                run_feature, features, repeat(free_workers), repeat(workers)
+            )
+        )
+
+
 def run_feature(
     feature: Path, free_workers: 'SimpleQueue[int]', workers: int
 ) -> FeatureRun:
@@ -165,18 +187,9 @@
     parser.add_argument('features', type=Path, nargs='*')
     args = parser.parse_args()
     features = find_features([path.resolve() for path in args.features])
-    free_workers: SimpleQueue[int] = SimpleQueue()
-    for worker in range(args.workers):
-        free_workers.put(worker)
-    with ThreadPoolExecutor(args.workers) as pool:
-        results = list(
-            pool.map(
-                run_feature,
-                features,
-                repeat(free_workers),
-                repeat(args.workers),
-            )
-        )
+    alone = [each for each in features if runs_alone(each)]
+    together = [each for each in features if each not in alone]
+    results = run_features(together, args.workers) + run_features(alone, 1)
     for finished in results:
         print(finished.output, end='')
     join(results, args.report, args.logs)
