Bound what clients make a node hold

Cause: bodies were read without regard to memory; 256 KB more were read ahead with each pipelined request; h11 takes 20 microseconds for a chunk, and a read that need not wait gives no other task its turn, so that two-byte chunks stopped the event loop; connections had no bound.

Ruled out: a time limit or task for each read (cost of a small request); TCP_WINDOW_CLAMP (no effect on Linux 6.18 over loopback: 645 KB unread with and without it, 222 KB with SO_RCVBUF 128 KiB).

Change: turmericyard_http.intake has a memory account for the process, reservations of bodies, a decoder for chunks, bounds on connections and a task that looks at all connections twice a second. h11 gets one request at a time. A failed accept for lack of descriptors is tried again; it ended the listener before. A body whose Content-Length is beyond the limit is refused at its head. The bounds apply with memoryMb and maxFds of the settings, the times (head 10 s, stall 5 s) in every forwarding node; other servers of this package only get the smaller read-ahead and the decoder. The listener for clients now applies the limits of the configuration (maxHeaderBytes, maxBodyBytes, idleTimeoutMs where longer than the default, headerTimeoutMs, which is newly decoded); it used the defaults before. Bodies of requests about the node itself may have 64 KiB (1 MiB before; none has one). email.utils is deferred in nodes, so that the 13 new modules stay within the check of features/forwarding/start.feature (412).

Tests: lint passed; features/http (36 passed) with the new intake.feature; 17 feature files of http, forwarding, node, platform and tools passed. No existing test is changed. Not run: the other features.

--- a/packages/turmericyard-http/src/turmericyard_http/answer_writer.py
+++ b/packages/turmericyard-http/src/turmericyard_http/answer_writer.py
@@ -2,12 +2,14 @@
 
 import os
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, TypeAlias
 
 import curio
 import h11
 
+from turmericyard_http.intake.account import Kind, Reason
+from turmericyard_http.intake.gate import Intake
 from turmericyard_http.messages import (
     OpaqueResponse,
     Response,
@@ -51,6 +53,7 @@
     keep_alive_disabled: bool = False
     #: No more connections are accepted; idle connections are closed.
     shutting_down: bool = False
+    intake: Intake = field(default_factory=Intake)
 
     def response_headers(
         self, response: Response | StreamResponse
@@ -159,8 +162,31 @@
         """Send within the time limit; raises TaskTimeout when it expires."""
         sent = write_without_blocking(self.sock, payload)
         if sent < len(payload):
+            await self.send_rest(memoryview(payload)[sent:])
+
+    async def send_rest(self, rest: memoryview) -> None:
+        """Send what the socket had no room for, within the account.
+
+        Raises ConnectionAbortedError without room, and TaskTimeout when the
+        client does not read for `stall_seconds`.
+        """
+        intake = self.state.intake
+        size = len(rest)
+        if not intake.account.reserve(Kind.RESPONSES, size):
+            intake.account.reject(Reason.UNREAD_RESPONSE)
+            raise ConnectionAbortedError('no memory for an unread response')
+        stall_seconds = intake.limits.stall_seconds or self.limits.send_seconds
+        try:
             async with curio.timeout_after(self.limits.send_seconds):
-                await self.sock.sendall(payload[sent:])
+                while rest:
+                    async with curio.timeout_after(stall_seconds):
+                        sent = await self.sock.send(rest)
+                    rest = rest[sent:]
+        except curio.TaskTimeout:
+            intake.account.reject(Reason.UNREAD_RESPONSE)
+            raise
+        finally:
+            intake.account.take(Kind.RESPONSES, -size)
 
 
 def write_without_blocking(sock: Any, payload: bytes) -> int:
--- a/packages/turmericyard-http/src/turmericyard_http/exchange.py
+++ b/packages/turmericyard-http/src/turmericyard_http/exchange.py
@@ -15,6 +15,14 @@
     ServerState,
 )
 from turmericyard_http.connection import has_input
+from turmericyard_http.intake.account import Reason
+from turmericyard_http.intake.body import Body
+from turmericyard_http.intake.input import (
+    HEAD_RECEIVE_BYTES,
+    ConnectionInput,
+)
+from turmericyard_http.intake.refusals import UNAVAILABLE, RequestRefused
+from turmericyard_http.intake.request_reader import read_body, read_head
 from turmericyard_http.messages import (
     Request,
     json_response,
@@ -25,15 +33,13 @@
 
 RECEIVE_BYTES = 65_536
 BAD_REQUEST = 400
-PAYLOAD_TOO_LARGE = 413
 INTERNAL_ERROR = 500
-#: Bytes read ahead while a request is being answered; more input is left in
-#: the socket.
-MAX_READ_AHEAD_BYTES = 262_144
-
-
-class RequestTooLarge(Exception):
-    """The body exceeds the limit; the response has status 413."""
+#: Retry-after time of a request for which there is no memory, in seconds.
+RETRY_AFTER_SECONDS = 1
+#: Why a connection is ended with a response; others are shut down both ways.
+ANSWERED_REASONS = frozenset(
+    (Reason.SLOW_HEAD, Reason.SLOW_BODY, Reason.MEMORY)
+)
 
 
 class ServerConnection:
@@ -48,12 +54,23 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self.writer = ResponseWriter(sock, self.protocol, limits, state)
+        self.input = ConnectionInput(sock)
+        #: Requests whose head has arrived.
+        self.requests = 0
+        self.body: Body | None = None
 
     @property
     def idle(self) -> bool:
         """Return whether no byte of the next request has been read."""
-        no_input = self.protocol.trailing_data[0] == b''
-        return no_input and self.protocol.their_state is h11.IDLE
+        return self.phase == 'idle'
+
+    @property
+    def phase(self) -> str:
+        """Return what is read or done: `idle`, `head`, `body` or `answer`."""
+        state = self.protocol.their_state
+        if state is h11.IDLE:
+            return 'head' if self.input.pending else 'idle'
+        return 'body' if state is h11.SEND_BODY else 'answer'
 
     @property
     def reading(self) -> bool:
@@ -64,15 +81,51 @@
         """Answer requests until either side closes; then close cleanly."""
         while await self.answer_next(handler):
             self.protocol.start_next_cycle()
+            if self.input.pending:
+                await curio.sleep(0)
         if self.protocol.their_state is not h11.CLOSED:
             await self.linger()
 
+    def can_be_replaced(self, *, idle: bool) -> bool:
+        """Return whether it may be closed for a new connection.
+
+        No request may be in progress. With `idle` there may have been some.
+        """
+        if self.input.end_reason is not None:
+            return False
+        if idle and self.phase == 'idle':
+            return True
+        return not self.requests and self.phase in {'idle', 'head'}
+
+    async def abort(self, reason: Reason) -> None:
+        """End the connection; its own task closes it.
+
+        The sending side stays open where a response says why.
+        """
+        if self.input.end_reason is None:
+            self.input.end_reason = reason
+            self.state.intake.account.reject(reason)
+            direction = system_socket.SHUT_RDWR
+            if reason in ANSWERED_REASONS:
+                direction = system_socket.SHUT_RD
+            await shut_down(self.sock, direction)
+
+    def release(self) -> None:
+        """Give back what is reserved for the last request."""
+        if self.body is not None:
+            self.body.release()
+            self.body = None
+
     async def linger(self) -> None:
         """Close the sending side and discard input until the client closes.
 
         A close with unread input would reset the connection, and the client
-        could lose a response that it has not read yet.
+        could lose a response that it has not read yet. Does nothing when the
+        connection was shut down.
         """
+        reason = self.input.end_reason
+        if not (reason is None or reason in ANSWERED_REASONS):
+            return
         await self.sock.shutdown(system_socket.SHUT_WR)
         async with curio.ignore_after(self.limits.linger_seconds):
             await discard_input(self.sock)
@@ -88,7 +141,7 @@
         if not self.idle:
             return True
         async with curio.ignore_after(self.limits.last_request_seconds):
-            self.protocol.receive_data(await self.sock.recv(RECEIVE_BYTES))
+            self.input.pending += await self.input.receive(HEAD_RECEIVE_BYTES)
             return True
         return False
 
@@ -101,8 +154,8 @@
         except h11.RemoteProtocolError as error:
             await self.refuse(error.error_status_hint, 'malformed-http')
             return False
-        except RequestTooLarge:
-            await self.refuse(PAYLOAD_TOO_LARGE, 'body-too-large')
+        except RequestRefused as refused:
+            await self.refuse(refused.status, refused.kind)
             return False
         if request is None:
             return False
@@ -110,6 +163,7 @@
             await self.answer_until_disconnect(handler, request)
         else:
             await self.answer(handler, request)
+        self.release()
         return (
             self.protocol.our_state is h11.DONE
             and self.protocol.their_state is h11.DONE
@@ -153,25 +207,27 @@
     async def cancel_on_disconnect(self, response_task: Any) -> None:
         """Read ahead; cancel the task when the client disconnects.
 
-        Stops reading after `MAX_READ_AHEAD_BYTES`.
+        Stops reading when a head of the longest kind is pending.
         """
-        read_ahead = 0
-        while read_ahead < MAX_READ_AHEAD_BYTES:
+        source = self.input
+        room = HEAD_RECEIVE_BYTES - len(source.pending)
+        while room > 0:
             try:
-                received = await self.sock.recv(RECEIVE_BYTES)
+                received = await source.receive(room)
             except OSError:
                 break
-            if not received:
+            if not received or source.end_reason is not None:
                 break
-            read_ahead += len(received)
-            self.protocol.receive_data(received)
+            source.pending += received
+            room -= len(received)
         else:
             return
         await response_task.cancel(blocking=False)
 
     async def refuse(self, status: int, kind: str) -> None:
         """Send an error response to a request that could not be read."""
-        if self.protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+        sendable = self.protocol.our_state in {h11.IDLE, h11.SEND_RESPONSE}
+        if not (status and sendable):
             return
         payload = {
             'outcome': 'not-run',
@@ -179,20 +235,23 @@
             'message': f'{kind}: send a smaller or well-formed request',
         }
         headers = {'connection': 'close', 'x-outcome': 'not-run'}
+        if status == UNAVAILABLE:
+            headers['retry-after'] = str(RETRY_AFTER_SECONDS)
         await self.writer.send_complete(json_response(status, payload, headers))
 
     async def read_request(self) -> Request | None:
         """Return the next request, or None when the client has closed."""
         async with curio.timeout_after(self.limits.idle_seconds):
-            head = await self.next_event()
+            head = await read_head(self)
             if not isinstance(head, h11.Request):
                 return None
-            body = await self.read_body()
+            self.requests += 1
+            headers = {
+                name.decode('latin-1'): value.decode('latin-1')
+                for name, value in head.headers
+            }
+            body = await read_body(self, headers)
         path, query = split_target(head.target.decode('latin-1'))
-        headers = {
-            name.decode('latin-1'): value.decode('latin-1')
-            for name, value in head.headers
-        }
         return Request(
             head.method.decode('latin-1'),
             path,
@@ -203,36 +262,13 @@
             tuple((bytes(name), bytes(text)) for name, text in head.headers),
         )
 
-    async def read_body(self) -> bytes:
-        """Return the complete body; raises RequestTooLarge over the limit."""
-        parts = bytearray()
-        while True:
-            event = await self.next_event()
-            if not isinstance(event, h11.Data):
-                return bytes(parts)
-            parts += event.data
-            if len(parts) > self.limits.body_bytes:
-                raise RequestTooLarge
-
-    async def next_event(self) -> Any:
-        """Return the next h11 event, reading as needed."""
-        while True:
-            event = self.protocol.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            if self.protocol.they_are_waiting_for_100_continue:
-                await self.writer.send_event(
-                    h11.InformationalResponse(status_code=100, headers=[])
-                )
-            received = await self.sock.recv(RECEIVE_BYTES)
-            if not (received and self.sending_closed):
-                self.protocol.receive_data(received)
-
 
 async def discard_input(sock: Any) -> None:
     """Read and discard input until the peer closes."""
     received = await sock.recv(RECEIVE_BYTES)
     while received:
+        # A read that need not wait gives no other task its turn.
+        await curio.sleep(0)
         received = await sock.recv(RECEIVE_BYTES)
 
 
--- a/packages/turmericyard-http/src/turmericyard_http/server.py
+++ b/packages/turmericyard-http/src/turmericyard_http/server.py
@@ -8,6 +8,7 @@
 """
 
 import socket as system_socket
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
 
@@ -18,6 +19,12 @@
 from turmericyard_http.connection import has_input, set_user_timeout
 from turmericyard_http.exchange import Handler, ServerConnection, shut_down
 from turmericyard_http.handshake_filter import drop_new_handshakes
+from turmericyard_http.intake.account import Reason
+from turmericyard_http.intake.gate import (
+    ACCEPT_PAUSE_SECONDS,
+    PASSING_ERRORS,
+    Intake,
+)
 from turmericyard_http.tasks import BackgroundTasks
 
 LISTEN_BACKLOG = 1024
@@ -52,14 +59,24 @@
 class HttpServer:
     """Serves the connections of one listener until `finish` is called."""
 
-    def __init__(self, listener: Any, handler: Handler, limits: Limits) -> None:
+    def __init__(
+        self,
+        listener: Any,
+        handler: Handler,
+        limits: Limits | Callable[[], Limits],
+        intake: Intake | None = None,
+    ) -> None:
         self.listener = listener
         self.handler = handler
-        self.limits = limits
+        #: Read for each new connection, where they may change.
+        self.read_limits = limits if callable(limits) else None
+        self.limits = limits() if callable(limits) else limits
         self.connection_tasks = BackgroundTasks()
         self.connections: set[ServerConnection] = set()
         self.queued_sockets: list[Any] = []
-        self.state = ServerState()
+        self.intake = intake or Intake()
+        self.state = ServerState(intake=self.intake)
+        limit_receive_buffer(listener, self.intake.limits.receive_buffer_bytes)
         self.stopped = curio.Event()
 
     async def run(self) -> None:
@@ -113,13 +130,36 @@
     async def accept_all(self) -> None:
         """Serve each connection until the listener is shut down."""
         while True:
-            try:
-                sock, _ = await self.listener.accept()
-            except OSError:
-                if self.state.shutting_down:
-                    return
+            sock = await self.accept()
+            if sock is not None:
+                await self.admit(sock)
+            elif self.state.shutting_down:
+                return
+
+    async def accept(self) -> Any:
+        """Return the next connection, None after an error that passes."""
+        try:
+            sock, _ = await self.listener.accept()
+        except OSError as error:
+            if self.state.shutting_down:
+                return None
+            if error.errno not in PASSING_ERRORS:
                 raise
-            await self.serve(sock)
+            self.intake.account.reject(Reason.DESCRIPTORS)
+            await curio.sleep(ACCEPT_PAUSE_SECONDS)
+            return None
+        return sock
+
+    async def admit(self, sock: Any) -> None:
+        """Serve a connection if the bound allows it or another is ended."""
+        if self.intake.is_full and not await self.intake.make_room():
+            await sock.close()
+            return
+        await self.serve(sock)
+        if self.intake.limits.connections:
+            # An accept that need not wait gives no other task its turn: those
+            # that close connections, and those that count new ones.
+            await curio.sleep(0)
 
     async def serve(self, sock: Any) -> None:
         """Start the task that serves a connection."""
@@ -130,15 +170,24 @@
         sock.setsockopt(system_socket.IPPROTO_TCP, system_socket.TCP_NODELAY, 1)
         if self.limits.user_timeout_seconds:
             set_user_timeout(sock, self.limits.user_timeout_seconds)
+        if self.read_limits is not None:
+            self.limits = self.read_limits()
         connection = ServerConnection(sock, self.limits, self.state)
         self.connections.add(connection)
+        self.intake.add(connection)
         async with sock:
             try:
                 await connection.answer_all(self.handler)
             except (OSError, curio.TaskTimeout, h11.ProtocolError):
                 return
             finally:
-                self.connections.discard(connection)
+                self.forget(connection)
+
+    def forget(self, connection: ServerConnection) -> None:
+        """Give back what a closed connection was counted for."""
+        connection.release()
+        self.connections.discard(connection)
+        self.intake.remove(connection)
 
     async def drain_connections(self) -> None:
         """Serve the queued connections, then close idle and unfinished ones."""
@@ -162,3 +211,15 @@
         """Wait until all connections are closed, at most `seconds`."""
         async with curio.ignore_after(seconds):
             await self.connection_tasks.wait_all()
+
+
+def limit_receive_buffer(listener: Any, size: int) -> None:
+    """Bound what a client may send before it is read; 0 is no bound.
+
+    Connections inherit it from their listener. Without it the system lets the
+    buffer of a connection grow to megabytes.
+    """
+    if size:
+        listener.setsockopt(
+            system_socket.SOL_SOCKET, system_socket.SO_RCVBUF, size
+        )
--- a/packages/turmericyard-node/src/turmericyard_node/deferred_imports.py
+++ b/packages/turmericyard-node/src/turmericyard_node/deferred_imports.py
@@ -13,11 +13,13 @@
 from typing import Any
 
 #: Modules that curio imports for its workers and for other event loops, and
-#: that websockets imports for unreleased versions.
+#: that websockets imports for unreleased versions and for the date in the
+#: opening of a peer's channel.
 UNUSED_BY_NODES = (
     'asyncio',
     'multiprocessing.connection',
     'importlib.metadata',
+    'email.utils',
 )
 
 
@@ -48,3 +50,7 @@
         deferred = DeferredModule(name)
         deferred.__spec__ = spec
         sys.modules[name] = deferred
+        package, _, attribute = name.rpartition('.')
+        if package:
+            # An import statement sets this only for a module that it loads.
+            setattr(sys.modules[package], attribute, deferred)
--- a/packages/turmericyard-node/src/turmericyard_node/events.py
+++ b/packages/turmericyard-node/src/turmericyard_node/events.py
@@ -20,6 +20,7 @@
     NODE_RECONNECTED = (110, 'node:reconnected')
     NODE_ISOLATED = (103, 'node:isolated')
     NODE_REJOINED = (104, 'node:rejoined')
+    CLIENTS_BOUNDED = (120, 'clients:bounded')
     CONFIGURATION_ACCEPTED = (200, 'configuration:accepted')
     CONFIGURATION_REFUSED = (201, 'configuration:refused')
     STORE_UNAVAILABLE = (210, 'store:unavailable')
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
@@ -3,16 +3,20 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import curio
 
-from turmericyard_http.answer_writer import Limits
 from turmericyard_http.clock import Clock
 from turmericyard_http.exchange import Handler
 from turmericyard_http.server import HttpServer, open_listener
 from turmericyard_http.tasks import BackgroundTasks
 from turmericyard_node.contact import ContactTimes
 from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.clients.bounds import (
+    ClientBounds,
+    Listener,
+)
 from turmericyard_node.forwarding.discovery import Discovery
 from turmericyard_node.forwarding.endpoint_poll import EndpointPoll
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
@@ -29,7 +33,6 @@
 from turmericyard_node.forwarding.stalls import StallWatch
 from turmericyard_node.forwarding.waiting import WaitingRoom
 from turmericyard_ports.border import PlatformAdapter
-from turmericyard_ports.configuration import ClientLimits
 from turmericyard_ports.settings import ForwardingSettings
 
 #: Time without a new request after which a draining node stops, in seconds.
@@ -44,11 +47,6 @@
 ANSWER_SECONDS = 0.1
 #: Pause before a failed loop runs again, in seconds.
 RESTART_SECONDS = 0.2
-#: Time beyond the clients' own limit for which a connection may idle, so that
-#: the node does not close it under a request.
-IDLE_MARGIN_SECONDS = 5.0
-#: Time for which bytes to a client may stay unacknowledged, in seconds.
-CLIENT_TIMEOUT_SECONDS = 8.0
 
 Loop = Callable[[], Awaitable[None]]
 
@@ -73,6 +71,7 @@
     poll: EndpointPoll
     tasks: BackgroundTasks
     options: NodeOptions
+    client_bounds: ClientBounds
     servers: list[HttpServer] = field(default_factory=list)
     leaving_endpoints: deque[Endpoint] = field(default_factory=deque)
     draining: bool = False
@@ -95,6 +94,7 @@
             self.room.run,
             self.stalls.run,
             self.poll.run,
+            self.client_bounds.run,
             self.act_on_news,
         )
         for loop in loops:
@@ -110,22 +110,19 @@
         await self.tasks.spawn(
             self.fleet.mesh.serve, listen(self.settings.peers)
         )
-        bounds = ClientLimits()
-        client_limits = Limits(
-            bounds.header_bytes,
-            bounds.body_bytes,
-            bounds.idle_seconds + IDLE_MARGIN_SECONDS,
-            watch_client=True,
-            user_timeout_seconds=CLIENT_TIMEOUT_SECONDS,
-        )
-        interfaces: tuple[tuple[str, Handler, Limits], ...] = (
-            (self.settings.callers, self.request_handler.answer, client_limits),
-            (self.settings.readiness, self.node_status.answer, Limits()),
-            (self.settings.control, self.node_status.answer, Limits()),
-            (self.settings.directory, self.node_status.answer, Limits()),
+        status = self.node_status.answer
+        interfaces: tuple[tuple[str, Handler, Listener], ...] = (
+            (
+                self.settings.callers,
+                self.request_handler.answer,
+                Listener.CALLERS,
+            ),
+            (self.settings.readiness, status, Listener.READINESS),
+            (self.settings.control, status, Listener.CONTROL),
+            (self.settings.directory, status, Listener.DIRECTORY),
         )
-        for address, handler, limits in interfaces:
-            await self.serve(listen(address), handler, limits)
+        for address, handler, name in interfaces:
+            await self.serve(listen(address), handler, name)
         await self.open_metrics()
 
     async def open_metrics(self) -> None:
@@ -136,13 +133,19 @@
         except OSError as error:
             log_event(Event.METRICS_CLOSED, address=address, message=str(error))
             return
-        await self.serve(listener, self.node_status.answer, Limits())
+        await self.serve(listener, self.node_status.answer, Listener.METRICS)
 
     async def serve(
-        self, listener: object, handler: Handler, limits: Limits
+        self, listener: object, handler: Handler, name: Listener
     ) -> None:
         """Answer the requests of one listener."""
-        server = HttpServer(listener, handler, limits)
+        bounds = self.client_bounds
+        server = HttpServer(
+            listener,
+            handler,
+            partial(bounds.http_limits, name),
+            bounds.intakes[name],
+        )
         self.servers.append(server)
         await self.tasks.spawn(server.run)
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -5,6 +5,7 @@
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.tasks import BackgroundTasks
 from turmericyard_node.forwarding.application import ForwardingApplication
+from turmericyard_node.forwarding.clients.bounds import create_client_bounds
 from turmericyard_node.forwarding.discovery import Discovery, other_seeds
 from turmericyard_node.forwarding.endpoint_evidence import ejected_in_zone
 from turmericyard_node.forwarding.endpoint_poll import EndpointPoll
@@ -104,6 +105,9 @@
         EndpointPoll(platform_adapter, fleet, boot_seconds),
         tasks,
         options or NodeOptions(),
+        create_client_bounds(
+            settings, (options or NodeOptions()).clients, platform_state
+        ),
     )
     fleet.is_ready = application.is_ready
     platform_state.registry.listeners.append(
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on what all clients of a node together may take."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from turmericyard_node.forwarding.application import ForwardingApplication
+from turmericyard_node.forwarding.clients.gauges import register_client_gauges
 from turmericyard_node.forwarding.instruments import Exporter
 
 PREFIX = 'turmericyard.forwarding'
@@ -46,6 +47,7 @@
         lambda: application.clock() - application.contact.last_store_contact_at,
     )
     register_paths(application, gauges)
+    register_client_gauges(application.client_bounds, gauges)
     gauges.counter(
         f'{PREFIX}.loop_stalls', '{stall}', lambda: application.stalls.stalls
     )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/options.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/options.py
@@ -15,6 +15,12 @@
 DEFAULT_PATH = Path('deploy', 'node.ini')
 #: Largest share of requests that may be sent twice.
 MAX_SHARE = 0.2
+#: Least time without progress that is taken for a stall: a connection that
+#: lost some segments goes on within it.
+MIN_STALL_SECONDS = 1
+#: Least receive buffer: the longest head.
+MIN_RECEIVE_BUFFER_BYTES = 16_384
+Positive = Annotated[int, Meta(ge=1)]
 Share = Annotated[float, Meta(ge=0, le=MAX_SHARE)]
 
 
@@ -26,7 +32,26 @@
 
 
 class ClientOptions(Struct, frozen=True, forbid_unknown_fields=True):
-    """Limits on what all clients of a node together may take."""
+    """Limits on what all clients of a node together may take.
+
+    Times are in seconds.
+    """
+
+    #: Connections of clients; 0: as many as memory and descriptors allow.
+    connections: Annotated[int, Meta(ge=0)] = 0
+    #: Connections to each of the other addresses: readiness, directory, control
+    #: and metrics.
+    status_connections: Positive = 64
+    #: Time for the rest of a head after its first byte.
+    head_seconds: Annotated[float, Meta(ge=MIN_STALL_SECONDS)] = 10
+    #: Time without progress after which a body, or a client that does not read,
+    #: is given up.
+    stall_seconds: Annotated[float, Meta(ge=MIN_STALL_SECONDS)] = 5
+    #: Receive buffer of a connection where memory is bounded. The system uses up
+    #: to twice as much.
+    receive_buffer_bytes: Annotated[int, Meta(ge=MIN_RECEIVE_BUFFER_BYTES)] = (
+        131_072
+    )
 
 
 class NodeOptions(Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/turmericyard-ports/src/turmericyard_ports/configuration.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/configuration.py
@@ -78,6 +78,8 @@
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
     idle_seconds: float = 15
+    #: Time for a whole head, 0 where the configuration names none.
+    head_seconds: float = 0
 
 
 class Workspace(Struct, frozen=True):
