--- a/packages/turmericyard-node/src/turmericyard_node/deferred_imports.py
+++ b/packages/turmericyard-node/src/turmericyard_node/deferred_imports.py
@@ -14,12 +14,13 @@
 
 #: Modules that curio imports for its workers and for other event loops, that
 #: multiprocessing imports for temporary addresses, and that websockets imports
-#: for unreleased versions.
+#: for unreleased versions and for the date in the opening of a peer's channel.
 UNUSED_BY_NODES = (
     'asyncio',
     'multiprocessing.connection',
     'importlib.metadata',
     'tempfile',
+    'email.utils',
 )
 
 
@@ -50,3 +51,7 @@
         deferred = DeferredModule(name)
         deferred.__spec__ = spec
         sys.modules[name] = deferred
+        package, _, attribute = name.rpartition('.')
+        if package:
+            # An import statement sets this only for a module that it loads.
+            setattr(sys.modules[package], attribute, deferred)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
@@ -8,6 +8,7 @@
 )
 from turmericyard_node.forwarding.application import ForwardingApplication
 from turmericyard_node.forwarding.balancing.endpoint_paces import EndpointPaces
+from turmericyard_node.forwarding.clients.gauges import register_client_gauges
 from turmericyard_node.forwarding.instruments import Exporter
 
 PREFIX = 'turmericyard.forwarding'
@@ -52,6 +53,7 @@
     register_paths(application, gauges)
     register_paces(application.fleet.paces, gauges)
     register_queue(application.room.placement.queue.hub_queue, gauges)
+    register_client_gauges(application.client_bounds, gauges)
     gauges.counter(
         f'{PREFIX}.loop_stalls', '{stall}', lambda: application.stalls.stalls
     )
