Load the admission queue when a configuration has one

Cause: every node imported the queue's eighteen modules and the gauges' at its start; start.feature allows 412 and there were 432. Ruled out: a larger bound, since imports decide when a small machine serves. Change: AdmissionQueue loads the parts with the first configuration that has a resumable service; gauges are loaded by the first scrape, configparser only where deploy/node.ini exists.

--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/admission/node_queue.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/admission/node_queue.py
@@ -12,10 +12,13 @@
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.admission.hub_queue import HubQueue
 from turmericyard_node.forwarding.admission.offers import MILLISECONDS
+from turmericyard_node.forwarding.admission.queue import (
+    QueueRefusal,
+    WaitTimes,
+)
 from turmericyard_node.forwarding.admission.waiting_requests import (
     Pending,
     WaitingRequests,
-    WaitTimes,
     is_reached,
 )
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
@@ -51,14 +54,6 @@
 RETRY_LEFT_SHARE = 1 / 3
 
 
-@dataclass(frozen=True, slots=True)
-class QueueRefusal:
-    """Why a request gets no place, and when the client may retry."""
-
-    detail: str
-    retry_after_seconds: float
-
-
 @dataclass(slots=True)
 class NodeQueue:
     """Lets requests of this node wait at the first hub that answers."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/admission/waiting_requests.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/admission/waiting_requests.py
@@ -10,23 +10,6 @@
 from turmericyard_protocol.fleet_messages import PlaceOffer, PlaceTaken
 
 
-@dataclass(frozen=True, slots=True)
-class WaitTimes:
-    """How long a request may wait to be on time, has waited, and is held."""
-
-    wait_seconds: float
-    waited_seconds: float
-    hold_seconds: float
-
-    def after(self, seconds: float) -> 'WaitTimes':
-        """Return the times after a further wait."""
-        return WaitTimes(
-            max(0, self.wait_seconds - seconds),
-            self.waited_seconds + seconds,
-            max(0, self.hold_seconds - seconds),
-        )
-
-
 @dataclass(slots=True, eq=False)
 class Pending:
     """A request that waits at a hub, until it has an offer or the hub is lost."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
@@ -92,7 +92,7 @@
             self.discovery.run_membership,
             self.discovery.run_seeds,
             self.room.run,
-            self.room.placement.queue.hub_queue.run,
+            self.room.placement.queue.run,
             self.stalls.run,
             self.poll.run,
             self.client_bounds.run,
@@ -168,6 +168,7 @@
         while True:
             await self.platform_state.changed.wait()
             self.platform_state.changed.clear()
+            self.room.placement.queue.refresh()
             await self.fleet.hub.findings.update_wanted.set()
             while self.leaving_endpoints:
                 endpoint = self.leaving_endpoints.popleft()
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -1,12 +1,11 @@
 """Creates and connects the parts of a forwarding node."""
 
 from functools import partial
+from importlib import import_module
 
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.tasks import BackgroundTasks
-from turmericyard_node.forwarding.admission.assembly import (
-    create_node_queue,
-)
+from turmericyard_node.forwarding.admission.queue import AdmissionQueue
 from turmericyard_node.forwarding.application import ForwardingApplication
 from turmericyard_node.forwarding.clients.bounds import create_client_bounds
 from turmericyard_node.forwarding.discovery import Discovery, other_seeds
@@ -22,9 +21,11 @@
 from turmericyard_node.forwarding.forwarder_assembly import (
     create_forwarders,
 )
-from turmericyard_node.forwarding.gauges import create_exporter
 from turmericyard_node.forwarding.hub_choice import HubChoice
-from turmericyard_node.forwarding.instruments import create_instruments
+from turmericyard_node.forwarding.instruments import (
+    Exporter,
+    create_instruments,
+)
 from turmericyard_node.forwarding.node_status import NodeStatusHandler
 from turmericyard_node.forwarding.options import NodeOptions
 from turmericyard_node.forwarding.placement import HubPlacement
@@ -76,7 +77,7 @@
             fleet,
             endpoint_selector,
             boot_seconds,
-            create_node_queue(fleet, endpoint_selector),
+            AdmissionQueue(fleet, endpoint_selector),
         ),
         boot_seconds,
         instruments,
@@ -126,6 +127,13 @@
     return application
 
 
+def create_exporter(application: ForwardingApplication) -> Exporter:
+    """Return an exporter with all gauges, whose modules are loaded now."""
+    module = import_module('turmericyard_node.forwarding.gauges')
+    exporter: Exporter = module.create_exporter(application)
+    return exporter
+
+
 def is_relied_on(fleet: Fleet) -> bool:
     """Return whether other nodes use this node's view, or there are no others."""
     return bool(fleet.hub.last_heartbeats) or fleet.size() == 1
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/options.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/options.py
@@ -3,8 +3,7 @@
 A missing file, section or key means the default.
 """
 
-from configparser import ConfigParser
-from configparser import Error as ConfigParserError
+from importlib import import_module
 from pathlib import Path
 from typing import Annotated
 
@@ -63,10 +62,13 @@
 
 def read_options(path: Path = DEFAULT_PATH) -> Result[NodeOptions, str]:
     """Return the options in a file, or which one is invalid."""
-    parser = ConfigParser(interpolation=None)
+    if not path.exists():
+        return Success(NodeOptions())
+    configparser = import_module('configparser')
+    parser = configparser.ConfigParser(interpolation=None)
     try:
         parser.read(path, encoding='utf-8')
         sections = {name: dict(parser[name]) for name in parser.sections()}
         return Success(convert(sections, NodeOptions, strict=False))
-    except (ConfigParserError, UnicodeDecodeError, ValidationError) as error:
+    except (configparser.Error, UnicodeDecodeError, ValidationError) as error:
         return Failure(f'{path}: {error}; correct or remove the key')
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
@@ -14,7 +14,7 @@
 
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
-from turmericyard_node.forwarding.admission.node_queue import NodeQueue
+from turmericyard_node.forwarding.admission.queue import AdmissionQueue
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_selector import EndpointSelector
 from turmericyard_node.forwarding.fleet import Fleet
@@ -38,7 +38,7 @@
     fleet: Fleet
     endpoint_selector: EndpointSelector
     clock: Clock
-    queue: NodeQueue
+    queue: AdmissionQueue
 
     async def place(self, job: Job) -> Endpoint | None:
         """Return the endpoint for a request, None when none has room."""
@@ -72,7 +72,7 @@
         )
         return endpoint
 
-    def queue_for(self, job: Job) -> NodeQueue | None:
+    def queue_for(self, job: Job) -> AdmissionQueue | None:
         """Return the queue for a request whose service has one."""
         return self.queue if self.queue.is_enabled(job) else None
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
@@ -10,7 +10,7 @@
 
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
-from turmericyard_node.forwarding.admission.waiting_requests import WaitTimes
+from turmericyard_node.forwarding.admission.queue import WaitTimes
 from turmericyard_node.forwarding.copies import CopyCleaner
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_response import EndpointResponse
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/waiting.py
@@ -9,8 +9,10 @@
 
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
-from turmericyard_node.forwarding.admission.node_queue import QueueRefusal
-from turmericyard_node.forwarding.admission.waiting_requests import WaitTimes
+from turmericyard_node.forwarding.admission.queue import (
+    QueueRefusal,
+    WaitTimes,
+)
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.job import Job
