End responses that clients do not read as broken

In curio the expiry of the inner one reaches the outer one as UncaughtTimeoutError, so that the task crashed with a traceback instead of ending the response. A stream to an HTTP/1.0 client has no chunks and looked complete when it was broken off. While a client does not read, the receive buffer of the connection to the endpoint grew without a fixed size and did not count.

Ruled out: a larger buffer in the node for slow clients; the stream is read from its endpoint as fast as the client reads and ended after stall_seconds.

Change: one time limit for each write. A broken response to HTTP/1.0 ends with a reset. Where memory is bounded, connections to endpoints have a fixed receive buffer (endpoint_buffer_bytes), and those of relayed streams count in the memory account. A configured limit of 0 or less means the default.

--- a/features/http/intake.feature
+++ b/features/http/intake.feature
@@ -25,6 +25,15 @@
       | a body that stalls               | 1000    | 408    |
       | a head that stalls               | 1000    | 408    |
 
+  Scenario Outline: A stream that its <version> client does not read is never complete
+    When a client of <version> does not read an endless stream of a bounded HTTP server
+    Then the stream ends within its memory, and not as complete
+
+    Examples:
+      | version  |
+      | HTTP/1.1 |
+      | HTTP/1.0 |
+
   Scenario: A body for which there is no memory is refused until there is some
     When a body is sent to a bounded HTTP server while another takes its memory
     Then its response is 503, and says that it has not run unless it was served
--- a/features/steps/http_intake_steps.py
+++ b/features/steps/http_intake_steps.py
@@ -1,6 +1,6 @@
 """Steps for the bounds of an HTTP server on its clients."""
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from functools import partial
 from typing import Any
 
@@ -13,7 +13,7 @@
 from turmericyard_http.intake.account import Kind, MemoryAccount
 from turmericyard_http.intake.gate import Intake, IntakeLimits
 from turmericyard_http.intake.watch import ConnectionWatch
-from turmericyard_http.messages import Request, Response
+from turmericyard_http.messages import Request, Response, StreamResponse
 from turmericyard_http.server import HttpServer, listener_port, open_listener
 
 BODY_BYTES = 262_144
@@ -26,6 +26,10 @@
 SLOW_SECONDS = 1.6
 POST = b'POST / HTTP/1.1\r\nHost: a\r\n'
 CHUNKED = POST + b'Transfer-Encoding: chunked\r\n\r\n'
+CHUNK = b'a' * 65_536
+#: More than the buffers of a connection hold, in bytes.
+MOST_SENT = 16_777_216
+streams: list[Any] = []
 END = b'0\r\n\r\n'
 TINY = b'2\r\nab\r\n'
 
@@ -63,7 +67,26 @@
 }
 
 
-async def answer_length(request: Request) -> Response:
+class Stream:
+    """An endless stream that notes when it is closed."""
+
+    def __init__(self) -> None:
+        self.closed = False
+        self.sent = 0
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        try:
+            while True:
+                self.sent += len(CHUNK)
+                yield CHUNK
+        finally:
+            self.closed = True
+
+
+async def answer_length(request: Request) -> Any:
+    if request.path == '/stream':
+        streams.append(Stream())
+        return StreamResponse(200, streams[-1].chunks())
     return Response(200, {}, b'%d' % len(request.body))
 
 
@@ -162,6 +185,39 @@
     serve(scenario)
 
 
+@when(
+    'a client of {version} does not read an endless stream of a bounded HTTP'
+    ' server'
+)
+def step_unread(context: Context, version: str) -> None:
+    async def scenario(address: str) -> None:
+        connection = await connect(address)
+        await connection.send_ignoring_errors(
+            b'GET /stream %s\r\nHost: a\r\n\r\n' % version.encode()
+        )
+        while not (streams and streams[-1].closed):
+            await curio.sleep(0.05)
+        context.stream = streams.pop()
+        context.ended = b''
+        try:
+            while received := await connection.sock.recv(65_536):
+                context.ended = received
+        except ConnectionResetError:
+            context.ended = b'reset'
+        await connection.close()
+
+    serve(scenario)
+    context.version = version
+
+
+@then('the stream ends within its memory, and not as complete')
+def step_incomplete(context: Context) -> None:
+    assert context.stream.sent <= MOST_SENT, context.stream.sent
+    assert not context.ended.endswith(END), context.ended[-9:]
+    if context.version == 'HTTP/1.0':
+        assert context.ended == b'reset', context.ended[-9:]
+
+
 @then('it names a time to retry')
 def step_retry(context: Context) -> None:
     assert float(context.response.headers['retry-after']) > 0
--- a/packages/turmericyard-http/src/turmericyard_http/answer_writer.py
+++ b/packages/turmericyard-http/src/turmericyard_http/answer_writer.py
@@ -175,13 +175,16 @@
         if not intake.account.reserve(Kind.RESPONSES, size):
             intake.account.reject(Reason.UNREAD_RESPONSE)
             raise ConnectionAbortedError('no memory for an unread response')
+        ends_at = await curio.clock() + self.limits.send_seconds
         stall_seconds = intake.limits.stall_seconds or self.limits.send_seconds
         try:
-            async with curio.timeout_after(self.limits.send_seconds):
-                while rest:
-                    async with curio.timeout_after(stall_seconds):
-                        sent = await self.sock.send(rest)
-                    rest = rest[sent:]
+            while rest:
+                # Not within a second time limit: in curio the expiry of the
+                # inner one is an error of another type in the outer one.
+                seconds = min(stall_seconds, ends_at - await curio.clock())
+                async with curio.timeout_after(max(0, seconds)):
+                    sent = await self.sock.send(rest)
+                rest = rest[sent:]
         except curio.TaskTimeout:
             intake.account.reject(Reason.UNREAD_RESPONSE)
             raise
--- a/packages/turmericyard-http/src/turmericyard_http/exchange.py
+++ b/packages/turmericyard-http/src/turmericyard_http/exchange.py
@@ -1,6 +1,7 @@
 """The server side of one connection: its requests and responses."""
 
 import socket as system_socket
+import struct
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Any, TypeAlias
@@ -34,6 +35,9 @@
 RECEIVE_BYTES = 65_536
 BAD_REQUEST = 400
 INTERNAL_ERROR = 500
+HTTP_1_0 = b'1.0'
+#: Value of SO_LINGER (on, 0 seconds) that makes a close reset the connection.
+RESET = struct.pack('ii', 1, 0)
 #: Retry-after time of a request for which there is no memory, in seconds.
 RETRY_AFTER_SECONDS = 1
 #: Why a connection is ended with a response; others are shut down both ways.
@@ -279,3 +283,16 @@
     """
     with suppress(OSError):
         await sock.shutdown(direction)
+
+
+def reset_unframed(connection: ServerConnection) -> None:
+    """Let the close reset a connection whose broken response looks complete.
+
+    A response to HTTP/1.0 has no chunks: only its connection's end ends it.
+    """
+    protocol = connection.protocol
+    is_broken = protocol.our_state is h11.SEND_BODY
+    if is_broken and protocol.their_http_version == HTTP_1_0:
+        connection.sock.setsockopt(
+            system_socket.SOL_SOCKET, system_socket.SO_LINGER, RESET
+        )
--- a/packages/turmericyard-http/src/turmericyard_http/intake/watch.py
+++ b/packages/turmericyard-http/src/turmericyard_http/intake/watch.py
@@ -6,7 +6,7 @@
 
 import socket as system_socket
 import struct
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, Final
 
@@ -40,11 +40,16 @@
 
 @dataclass(slots=True)
 class ConnectionWatch:
-    """Watches the connections of some listeners with one account."""
+    """Watches the connections of some listeners with one account.
+
+    `other_sockets` returns sockets whose queues count as well: those of servers
+    that send faster than clients read.
+    """
 
     account: MemoryAccount
     intakes: Iterable[Intake]
     clock: Clock = boot_seconds
+    other_sockets: Callable[[], list[Any]] = list
     seen: dict[Any, Observation] = field(default_factory=dict)
 
     async def run(self) -> None:
@@ -98,6 +103,8 @@
     async def bound_buffers(self, buffered: list[tuple[int, Any]]) -> None:
         """Count the queues of sockets; over the bound, end the longest."""
         total = sum(size for size, _ in buffered)
+        if self.account.bound:
+            total += sum(map(buffered_bytes, self.other_sockets()))
         self.account.replace(Kind.SYSTEM, total)
         if self.account.has_room(0):
             return
--- a/packages/turmericyard-http/src/turmericyard_http/server.py
+++ b/packages/turmericyard-http/src/turmericyard_http/server.py
@@ -17,7 +17,12 @@
 
 from turmericyard_http.answer_writer import Limits, ServerState
 from turmericyard_http.connection import has_input, set_user_timeout
-from turmericyard_http.exchange import Handler, ServerConnection, shut_down
+from turmericyard_http.exchange import (
+    Handler,
+    ServerConnection,
+    reset_unframed,
+    shut_down,
+)
 from turmericyard_http.handshake_filter import drop_new_handshakes
 from turmericyard_http.intake.account import Reason
 from turmericyard_http.intake.gate import (
@@ -179,6 +184,7 @@
             try:
                 await connection.answer_all(self.handler)
             except (OSError, curio.TaskTimeout, h11.ProtocolError):
+                reset_unframed(connection)
                 return
             finally:
                 self.forget(connection)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -5,7 +5,10 @@
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.tasks import BackgroundTasks
 from turmericyard_node.forwarding.application import ForwardingApplication
-from turmericyard_node.forwarding.clients.bounds import create_client_bounds
+from turmericyard_node.forwarding.clients.bounds import (
+    bound_endpoints,
+    create_client_bounds,
+)
 from turmericyard_node.forwarding.discovery import Discovery, other_seeds
 from turmericyard_node.forwarding.endpoint_evidence import ejected_in_zone
 from turmericyard_node.forwarding.endpoint_poll import EndpointPoll
@@ -110,6 +113,7 @@
         ),
     )
     fleet.is_ready = application.is_ready
+    bound_endpoints(application)
     platform_state.registry.listeners.append(
         application.leaving_endpoints.append
     )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/clients/bounds.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/clients/bounds.py
@@ -1,16 +1,19 @@
 """The bounds of a node's listeners, from its settings and options."""
 
+import socket as system_socket
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import partial
+from typing import Any
 
 import curio
 from msgspec.structs import replace
 
 from turmericyard_http.answer_writer import Limits
 from turmericyard_http.clock import Clock, boot_seconds
+from turmericyard_http.connection import ClientConnection, Connect
 from turmericyard_http.intake.account import MemoryAccount, Reason
 from turmericyard_http.intake.gate import (
     Intake,
@@ -22,6 +25,7 @@
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.options import ClientOptions
 from turmericyard_node.forwarding.platform_state import PlatformState
+from turmericyard_node.forwarding.runs import RunRegistry
 from turmericyard_ports.configuration import ClientLimits
 from turmericyard_ports.settings import ForwardingSettings
 
@@ -61,6 +65,8 @@
     intakes: dict[Listener, Intake]
     options: ClientOptions
     read_limits: ReadLimits
+    #: Returns the sockets of endpoints whose input waits for clients.
+    endpoint_sockets: Callable[[], list[Any]] = list
     clock: Clock = boot_seconds
     #: Rejections by reason at the last log event about them, and its time.
     logged: Counter[Reason] = field(default_factory=Counter)
@@ -75,8 +81,8 @@
         # a body may need the longer one to arrive.
         idle_seconds = max(DEFAULTS.idle_seconds, limits.idle_seconds)
         return Limits(
-            limits.header_bytes,
-            limits.body_bytes,
+            given_or(limits.header_bytes, DEFAULTS.header_bytes),
+            given_or(limits.body_bytes, DEFAULTS.body_bytes),
             idle_seconds + IDLE_MARGIN_SECONDS,
             watch_client=True,
             user_timeout_seconds=CLIENT_TIMEOUT_SECONDS,
@@ -85,7 +91,10 @@
     async def run(self) -> None:
         """Watch all connections and log what reached a bound."""
         watch = ConnectionWatch(
-            self.account, tuple(self.intakes.values()), self.clock
+            self.account,
+            tuple(self.intakes.values()),
+            self.clock,
+            self.endpoint_sockets,
         )
         while True:
             await curio.sleep(INTERVAL_SECONDS)
@@ -158,7 +167,49 @@
     )
 
 
+def given_or(limit: int, default: int) -> int:
+    """Return a configured limit, or the default in place of an absurd one."""
+    return limit if limit > 0 else default
+
+
 def configured_limits(platform_state: PlatformState) -> ClientLimits:
     """Return the limits of the configuration in force."""
     table = platform_state.route_table
     return DEFAULTS if table is None else table.configuration.limits
+
+
+def bound_endpoints(application: Any) -> None:
+    """Give connections to endpoints a fixed receive buffer and count it.
+
+    Nothing changes where memory has no bound.
+    """
+    bounds = application.client_bounds
+    if not bounds.account.bound:
+        return
+    size = bounds.options.endpoint_buffer_bytes
+    fleet = application.fleet
+    for owner in (fleet.paths, fleet.tunnels):
+        owner.dial = partial(dial_bounded, owner.dial, size)
+    bounds.endpoint_sockets = partial(
+        stream_sockets, application.run_copier.run_registry
+    )
+
+
+async def dial_bounded(
+    dial: Connect, size: int, address: str, user_timeout_seconds: float = 0
+) -> ClientConnection:
+    """Return a new connection with a fixed receive buffer; raises OSError."""
+    connection = await dial(address, user_timeout_seconds)
+    connection.sock.setsockopt(
+        system_socket.SOL_SOCKET, system_socket.SO_RCVBUF, size
+    )
+    return connection
+
+
+def stream_sockets(run_registry: RunRegistry) -> list[Any]:
+    """Return the sockets of the streams that the node relays.
+
+    Those of tunnels through peers are left out: they carry messages.
+    """
+    sockets = [run.response.connection.sock for run in run_registry.runs]
+    return [sock for sock in sockets if hasattr(sock, 'getsockopt')]
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/options.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/options.py
@@ -20,6 +20,7 @@
 MIN_STALL_SECONDS = 1
 #: Least receive buffer: the longest head.
 MIN_RECEIVE_BUFFER_BYTES = 16_384
+BufferBytes = Annotated[int, Meta(ge=MIN_RECEIVE_BUFFER_BYTES)]
 Positive = Annotated[int, Meta(ge=1)]
 Share = Annotated[float, Meta(ge=0, le=MAX_SHARE)]
 
@@ -47,11 +48,10 @@
     #: Time without progress after which a body, or a client that does not read,
     #: is given up.
     stall_seconds: Annotated[float, Meta(ge=MIN_STALL_SECONDS)] = 5
-    #: Receive buffer of a connection where memory is bounded. The system uses up
-    #: to twice as much.
-    receive_buffer_bytes: Annotated[int, Meta(ge=MIN_RECEIVE_BUFFER_BYTES)] = (
-        131_072
-    )
+    #: Receive buffers of a client's and an endpoint's connection where memory
+    #: is bounded. The system uses up to twice as much.
+    receive_buffer_bytes: BufferBytes = 131_072
+    endpoint_buffer_bytes: BufferBytes = 65_536
 
 
 class NodeOptions(Struct, frozen=True, forbid_unknown_fields=True):
