Make the scenarios of hedged requests independent of the machine's load

Cause: beside other load (load average 27 to 32) 5 of 5 runs of features/forwarding/hedging were red. The scenarios sent 50 requests a second to a node and endpoints in one process; on a busy machine that made all endpoints slow, nothing was hedged, as it should be, and the scenario ran into the limit of 40 s, which ends behave without a report (seen once before, not traced then).

Ruled out: fewer requests in the same time: the number that reaches the late endpoint is drawn. A longer limit: hedges stay refused under overload.

The requests that are never hedged are counted by the log, not by second runs: a call that is given up after its limit runs a second time too. When all endpoints are late, two hedges are allowed instead of one: the first requests are hedged until another one is seen to be late; the replay in features/decisions/hedging still allows one.

--- a/features/forwarding/hedging.feature
+++ b/features/forwarding/hedging.feature
@@ -11,18 +11,19 @@
     And the late endpoint has no failure, and no request a strike
     And the metrics count hedges that were sent and won
 
-  # The switch is off by default: then not even a task is started.
+  # The switch is off by default. When all endpoints are late, the first requests
+  # are hedged until another one is seen to be late as well.
   Scenario Outline: Requests that are never hedged
     Given a world with 4 plain endpoints and 1 node
     And a share of <share> may be hedged, and 100 "/read/" requests were answered
     When 12 "<target>" requests are made while <endpoints> takes 0.2 seconds
-    Then at most <hedges> requests ran twice
+    Then at most <hedges> requests were hedged
 
     Examples:
       | share | target  | endpoints     | hedges |
       | 0     | /read/  | one endpoint  | 0      |
       | 0.2   | /write/ | one endpoint  | 0      |
-      | 0.2   | /read/  | each endpoint | 1      |
+      | 0.2   | /read/  | each endpoint | 2      |
 
   # The limits of an attempt hold as without hedging where no hedge is sent.
   Scenario Outline: Faults of endpoints have the same effect with hedging
