Roll out versions in stages within the exposure bound

Cause: an order to move a service to another version had no effect; requests went to endpoints of any version, and nothing told a bad one from a good one. Ruled out: exposure granted by the hub, which a node that is cut off can neither use nor give back; tests of mean times, which a fault on a part of the responses hardly moves; wall clocks for the end of an order, since clocks differ. Change: for a service with an item op/rollout/SERVICE each node draws the version of a request within its share of the bound and counts responses by route and version; heartbeats carry the counts (RolloutCount gets age_ms, appended). The first hub compares the versions by CUSUM tests, advances the stages, and writes state and status by compare-and-swap at changes of stage only. Copies and backups stay within a version. GET /rollouts shows each order; events 610 to 615. The in-process runner of the tests gets a fault for one route.

--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -42,6 +42,8 @@
     length: int = 20
     fault: str = ''
     faults_left: int = 1_000_000
+    #: The fault of requests of the route of writes.
+    write_fault: str = ''
     peers: dict[str, 'FleetRunner'] = field(default_factory=dict)
     arrivals: list[dict[str, str]] = field(default_factory=list)
     #: When each of the arrivals came, in seconds since the boot.
@@ -125,6 +127,8 @@
         self.bodies.append(len(request.body))
         echo = (b'x-turmericyard-attempt-id', attempt.encode())
         fault = self.take_fault()
+        if request.path.startswith('/write'):
+            fault = fault or self.write_fault
         if headers.get('x-turmericyard-expect-instance') != self.identity:
             return OpaqueResponse(421, (echo,))
         if self.crash is not None and self.is_crashing(request):
--- a/packages/turmericyard-node/src/turmericyard_node/events.py
+++ b/packages/turmericyard-node/src/turmericyard_node/events.py
@@ -58,6 +58,12 @@
     ENDPOINT_LIMITED = (508, 'endpoint:limited')
     PATH_BLOCKED = (509, 'path:blocked')
     ORDER_GIVEN = (600, 'order:given')
+    ROLLOUT_ORDERED = (610, 'rollout:ordered')
+    ROLLOUT_INVALID = (611, 'rollout:invalid')
+    ROLLOUT_STAGE = (612, 'rollout:stage')
+    ROLLOUT_WITHDRAWN = (613, 'rollout:withdrawn')
+    ROLLOUT_STOPPED = (614, 'rollout:stopped')
+    ROLLOUT_NOT_WRITTEN = (615, 'rollout:not-written')
     HANDLER_FAILED = (900, 'handler:failed')
 
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
@@ -26,6 +26,7 @@
     PlannedStop,
     RequestHandler,
 )
+from turmericyard_node.forwarding.rollout.decider import RolloutDecider
 from turmericyard_node.forwarding.stalls import StallWatch
 from turmericyard_node.forwarding.waiting import WaitingRoom
 from turmericyard_ports.border import PlatformAdapter
@@ -73,6 +74,7 @@
     poll: EndpointPoll
     tasks: BackgroundTasks
     options: NodeOptions
+    rollouts: RolloutDecider
     servers: list[HttpServer] = field(default_factory=list)
     leaving_endpoints: deque[Endpoint] = field(default_factory=deque)
     draining: bool = False
@@ -95,6 +97,7 @@
             self.room.run,
             self.stalls.run,
             self.poll.run,
+            self.rollouts.run,
             self.act_on_news,
         )
         for loop in loops:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -28,6 +28,7 @@
     PlatformState,
     create_platform_state,
 )
+from turmericyard_node.forwarding.rollout.assembly import create_rollouts
 from turmericyard_node.forwarding.stalls import StallWatch
 from turmericyard_node.forwarding.waiting import WaitingRoom
 from turmericyard_ports.border import PlatformAdapter
@@ -41,9 +42,8 @@
 ) -> ForwardingApplication:
     """Return the application for valid settings, not yet started."""
     store = platform_adapter.open_store(settings)
-    contact = create_contact()
     platform_state = create_platform_state(platform_adapter, boot_seconds)
-    fleet = create_fleet(settings, store, contact, platform_state)
+    fleet = create_fleet(settings, store, create_contact(), platform_state)
     discovery = Discovery(
         fleet, platform_adapter.read_settings, other_seeds(settings)
     )
@@ -52,6 +52,7 @@
     )
     platform_state.registry.lapse_seconds = settings.bounds.lapse_seconds
     platform_state.listeners.extend((discovery.observe, fleet.hub.observe))
+    rollouts = create_rollouts(settings, platform_adapter, fleet, store)
     endpoint_selector = EndpointSelector(
         platform_state,
         fleet.loads,
@@ -61,6 +62,7 @@
         fleet.size,
         partial(ejected_endpoints, fleet),
         fleet.hub.findings.trials,
+        rollouts=rollouts.version_filter,
     )
     fleet.place_for_peer = endpoint_selector.place_for_peer
     fleet.end_place = endpoint_selector.placed.end
@@ -73,17 +75,22 @@
     )
     tasks = BackgroundTasks()
     request_handler, run_copier = create_forwarders(
-        platform_adapter, settings, fleet, room, tasks
+        platform_adapter,
+        settings,
+        fleet,
+        room,
+        tasks,
+        rollouts.version_filter,
     )
     application = ForwardingApplication(
         settings,
         platform_adapter,
         boot_seconds,
-        contact,
+        fleet.contact,
         platform_state,
         Follower(
             store,
-            contact,
+            fleet.contact,
             platform_state,
             boot_seconds,
             fleet.hub_choice.follows_store,
@@ -98,12 +105,14 @@
             fleet,
             settings.bounds.address_ttl_seconds,
             instruments,
+            rollouts,
         ),
         run_copier,
         StallWatch(boot_seconds),
         EndpointPoll(platform_adapter, fleet, boot_seconds),
         tasks,
         options or NodeOptions(),
+        rollouts,
     )
     fleet.is_ready = application.is_ready
     platform_state.registry.listeners.append(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
@@ -97,11 +97,27 @@
         """Send the request to an endpoint and count its load until the outcome."""
         load = self.loads.begin(RequestLoad(endpoint.identity))
         try:
-            return await self.exchange(job, endpoint, attempt)
+            outcome = await self.exchange(job, endpoint, attempt)
+            self.record_version(job, endpoint, outcome)
+            return outcome
         finally:
             self.loads.end(load)
             await self.room.placement.release(job, endpoint.identity)
 
+    def record_version(
+        self,
+        job: Job,
+        endpoint: Endpoint,
+        outcome: Answer | NotRun | MayHaveRun,
+    ) -> None:
+        """Count the outcome of a run for a version that is rolled out."""
+        if isinstance(outcome, NotRun):
+            return
+        failed = (
+            isinstance(outcome, MayHaveRun) or outcome.status >= SERVER_ERROR
+        )
+        self.sender.rollouts.record(job, endpoint, failed=failed)
+
     async def exchange(
         self, job: Job, endpoint: Endpoint, attempt: int
     ) -> Answer | NotRun | MayHaveRun:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_selector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_selector.py
@@ -24,6 +24,7 @@
     LoadTracker,
 )
 from turmericyard_node.forwarding.platform_state import PlatformState
+from turmericyard_node.forwarding.rollout.filter import RolloutFilter
 from turmericyard_ports.configuration import Service
 from turmericyard_ports.settings import Bounds
 from turmericyard_protocol.fleet_messages import (
@@ -55,6 +56,8 @@
     #: What this node has placed at brittle endpoints, also for others.
     placed: PlacedRequests = field(default_factory=PlacedRequests)
     random: Random = field(default_factory=Random)
+    #: Draws the version of each request while one is rolled out.
+    rollouts: RolloutFilter | None = None
 
     def place(self, job: Job, *, as_hub: bool = False) -> Endpoint | None:
         """Return the endpoint for a request, None when none has room.
@@ -114,7 +117,11 @@
             self.zone,
             int(job.prompt_tokens()),
             int(job.memory_tokens()),
-            (*job.excluded_endpoints, *self.backing_off(job)),
+            (
+                *job.excluded_endpoints,
+                *self.backing_off(job),
+                *(self.rollouts.avoided(job) if self.rollouts else ()),
+            ),
             job.attempt,
             self.trials.suspects(job.part_marks),
         )
@@ -126,6 +133,12 @@
         )
         return [endpoint.identity for endpoint in found]
 
+    def other_versions(self, job: Job, source: Endpoint) -> list[str]:
+        """Return the endpoints of other versions than that of a run."""
+        if self.rollouts is None:
+            return []
+        return self.rollouts.avoided_for_copy(job.service.name, source)
+
     def back_off_seconds(self, job: Job) -> float:
         """Return the time until the first back-off ends, in seconds.
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -43,6 +43,7 @@
     PlaceEnd,
     PlaceReply,
     PlaceRequest,
+    RolloutCount,
     ViewItemsReply,
     ViewItemsRequest,
 )
@@ -78,6 +79,11 @@
     copy_place_for_peer: (
         Callable[[CopyPlaceRequest], Endpoint | None] | None
     ) = None
+    #: Tells one process of this node from the next.
+    started: int = 0
+    #: Return this node's counts for roll-outs, and record those of a node.
+    rollout_counts: Callable[[], tuple[RolloutCount, ...]] = tuple
+    record_rollouts: Callable[[str, FleetBeat], None] | None = None
 
     @property
     def own(self) -> Member:
@@ -131,6 +137,8 @@
             self.hub.findings.recent(),
             self.platform_state.view.era,
             self.paths.is_cut_off,
+            rollouts=self.rollout_counts(),
+            started=self.started,
         )
 
     async def run_beats(self) -> None:
@@ -241,6 +249,8 @@
         update = self.hub.answer(
             sender, self.membership.zone_of(sender), payload
         )
+        if self.record_rollouts is not None:
+            self.record_rollouts(sender, payload)
         await self.hub.findings.receive(payload.findings)
         stale = (
             self.clock() - self.contact.last_store_contact_at > STALE_SECONDS
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/forwarder_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/forwarder_assembly.py
@@ -8,6 +8,7 @@
 from turmericyard_node.forwarding.fleet import Fleet
 from turmericyard_node.forwarding.moves import RunCopier
 from turmericyard_node.forwarding.request_handler import RequestHandler
+from turmericyard_node.forwarding.rollout.filter import RolloutFilter
 from turmericyard_node.forwarding.runs import RunRegistry
 from turmericyard_node.forwarding.sending import Sender
 from turmericyard_node.forwarding.stream_failover import StreamFailover
@@ -23,6 +24,7 @@
     fleet: Fleet,
     room: WaitingRoom,
     tasks: BackgroundTasks,
+    rollouts: RolloutFilter,
 ) -> tuple[RequestHandler, RunCopier]:
     """Return the parts that forward requests and move their runs."""
     loads = fleet.loads
@@ -34,6 +36,7 @@
         boot_seconds,
         instruments,
         CrashDetector(fleet.hub.findings, tasks, fleet.paths),
+        rollouts,
     )
     run_registry = RunRegistry(loads)
     cleaner = CopyCleaner(platform_adapter, tasks, fleet.paths)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from turmericyard_decisions.strikes import Strike
+from turmericyard_node.forwarding.rollout.draw import VersionDraw
 from turmericyard_ports.configuration import Route, Service
 from turmericyard_ports.request import IncomingRequest
 
@@ -47,6 +48,8 @@
     unexplained_breaks: int = 0
     #: The strikes against its marks when it was sent last.
     strikes_at_send: tuple[Strike, ...] = ()
+    #: The version that it goes to while one is rolled out.
+    version_draw: VersionDraw = field(default_factory=VersionDraw)
 
     @property
     def marks(self) -> tuple[bytes, ...]:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/node_status.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/node_status.py
@@ -9,12 +9,15 @@
 from turmericyard_node.forwarding.discovery import MEMBERS_PATH
 from turmericyard_node.forwarding.fleet import Fleet
 from turmericyard_node.forwarding.instruments import Instruments
+from turmericyard_node.forwarding.rollout.decider import RolloutDecider
+from turmericyard_node.forwarding.rollout.page import describe
 from turmericyard_ports.border import PlatformAdapter
 
 OK = 200
 NOT_FOUND = 404
 UNAVAILABLE = 503
 METRICS_PATH = '/metrics'
+ROLLOUTS_PATH = '/rollouts'
 
 
 @dataclass(slots=True)
@@ -25,6 +28,7 @@
     fleet: Fleet
     address_ttl_seconds: float
     instruments: Instruments
+    rollouts: RolloutDecider
 
     async def answer(self, request: Request) -> Answer:
         """Return the answer to a request about the node."""
@@ -34,6 +38,8 @@
         if request.path == METRICS_PATH:
             rendered = await self.instruments.render()
             return Response(OK, {'content-type': 'text/plain'}, rendered)
+        if request.path == ROLLOUTS_PATH:
+            return Response(OK, {}, orjson.dumps(describe(self.rollouts)))
         kind = self.platform_adapter.classify_status_request(request)
         if kind == 'addresses':
             zone = self.platform_adapter.requested_zone(request)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
@@ -108,6 +108,7 @@
                 source.identity,
                 *excluded_endpoints,
                 *self.endpoint_selector.backing_off(job),
+                *self.endpoint_selector.other_versions(job, source),
             ),
         )
         _, reply = await self.ask_hubs(request)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -19,6 +19,7 @@
 from turmericyard_node.forwarding.fleet import Fleet
 from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.job import Job
+from turmericyard_node.forwarding.rollout.filter import RolloutFilter
 from turmericyard_ports.border import PlatformAdapter
 from turmericyard_ports.request import Continuation, ForwardingContext, Verdict
 from turmericyard_ports.settings import Bounds
@@ -56,6 +57,7 @@
     clock: Clock
     instruments: Instruments
     crashes: CrashDetector
+    rollouts: RolloutFilter
     budgets: dict[str, ServiceRetryBudget] = field(default_factory=dict)
 
     def budget(self, service: str) -> ServiceRetryBudget:
@@ -102,6 +104,8 @@
     ) -> EndpointResponse | NotRun | MayHaveRun:
         """Send a request and return the answer, or why there is none."""
         now = self.clock()
+        if not self.rollouts.admit(job, endpoint):
+            return NotRun('the version of the endpoint gets nothing now')
         if job.send_count:
             self.budget(job.service.name).spend(now)
         job.send_count += 1
@@ -128,6 +132,9 @@
             seconds,
         )
         send_outcome = await self.classify(job, endpoint, result)
+        self.rollouts.record_head(
+            job, endpoint, is_valid=is_valid_or_not_run(send_outcome)
+        )
         self.instruments.record_send(
             job.service.name, outcome_label(send_outcome)
         )
@@ -214,6 +221,15 @@
             self.fleet.tally.observe(endpoint, failed=True)
 
 
+def is_valid_or_not_run(
+    outcome: EndpointResponse | NotRun | MayHaveRun,
+) -> bool:
+    """Return whether an outcome is no failure of a run."""
+    if isinstance(outcome, EndpointResponse):
+        return outcome.head.status < SERVER_ERROR
+    return isinstance(outcome, NotRun)
+
+
 def outcome_label(outcome: EndpointResponse | NotRun | MayHaveRun) -> str:
     """Return the label under which an outcome is counted."""
     if isinstance(outcome, EndpointResponse):
--- a/packages/turmericyard-ports/src/turmericyard_ports/border.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/border.py
@@ -17,6 +17,7 @@
     IncomingRequest,
     Verdict,
 )
+from turmericyard_ports.rollout import RolloutOrder, RolloutStatus
 from turmericyard_ports.settings import ForwardingSettings
 
 
@@ -52,6 +53,25 @@
     ) -> Result[EndpointRecord, str]:
         """Return the endpoint in a store item, or why it is invalid."""
 
+    def rollout_service(self, key: str) -> str | None:
+        """Return the service of a roll-out order's key, None for other keys."""
+
+    def read_rollout_order(
+        self, key: str, value: bytes
+    ) -> Result[RolloutOrder, str]:
+        """Return the order in a store item, or why it is invalid."""
+
+    def rollout_status_key(self, service: str) -> str:
+        """Return the key of the status of a service's roll-out."""
+
+    def encode_rollout_status(self, status: RolloutStatus) -> bytes:
+        """Return the value of a status item."""
+
+    def read_rollout_status(
+        self, key: str, value: bytes
+    ) -> RolloutStatus | None:
+        """Return the status in a store item, None for other items."""
+
 
 class PlatformAdapter(StoreItemReader, Protocol):
     """Translates between a platform's formats and the core's types."""
--- a/packages/turmericyard-ports/src/turmericyard_ports/endpoint.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/endpoint.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from turmericyard_ports.rollout import Version
+
 
 class EndpointState(Enum):
     """Whether an endpoint takes new requests."""
@@ -28,6 +30,8 @@
     state: EndpointState
     cold_seconds: float = 0
     born: int | None = None
+    #: Version of its program, '' where it is not published.
+    version: Version = ''
 
 
 class CopiedRun(Struct, frozen=True):
--- a/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
+++ b/packages/turmericyard-protocol/src/turmericyard_protocol/fleet_messages.py
@@ -154,6 +154,8 @@
     #: Requests sent to the service, and those of them sent to the new version.
     sent: int = 0
     sent_new: int = 0
+    #: Time since the node first saw the order, in milliseconds.
+    age_ms: int = 0
 
 
 class FleetBeat(Message, frozen=True):
