--- a/packages/turmericyard-node/src/turmericyard_node/deferred_imports.py
+++ b/packages/turmericyard-node/src/turmericyard_node/deferred_imports.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from importlib import import_module
 from importlib.util import find_spec
-from types import ModuleType
+from types import MappingProxyType, ModuleType
 from typing import Any
 
 #: Modules that curio imports for its workers and for other event loops, that
@@ -24,6 +24,22 @@
 )
 
 
+#: Attributes that curio copies while it is imported, and uses only in channels
+#: between processes. Reading them does not load the module.
+COPIED_BY_CURIO = MappingProxyType(
+    {
+        'multiprocessing.connection': MappingProxyType(
+            {
+                'MESSAGE_LENGTH': 20,
+                'CHALLENGE': b'#CHALLENGE#',
+                'WELCOME': b'#WELCOME#',
+                'FAILURE': b'#FAILURE#',
+            }
+        )
+    }
+)
+
+
 class DeferredModule(ModuleType):
     """Placeholder for a module until one of its attributes is read."""
 
@@ -50,6 +66,7 @@
             raise ModuleNotFoundError(name)
         deferred = DeferredModule(name)
         deferred.__spec__ = spec
+        deferred.__dict__.update(COPIED_BY_CURIO.get(name, {}))
         sys.modules[name] = deferred
         package, _, attribute = name.rpartition('.')
         if package:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/application.py
@@ -30,6 +30,7 @@
     PlannedStop,
     RequestHandler,
 )
+from turmericyard_node.forwarding.rollout.rollouts import Rollouts
 from turmericyard_node.forwarding.stalls import StallWatch
 from turmericyard_node.forwarding.waiting import WaitingRoom
 from turmericyard_ports.border import PlatformAdapter
@@ -72,6 +73,7 @@
     tasks: BackgroundTasks
     options: NodeOptions
     client_bounds: ClientBounds
+    rollouts: Rollouts
     servers: list[HttpServer] = field(default_factory=list)
     leaving_endpoints: deque[Endpoint] = field(default_factory=deque)
     draining: bool = False
@@ -96,6 +98,7 @@
             self.stalls.run,
             self.poll.run,
             self.client_bounds.run,
+            self.rollouts.run,
             self.act_on_news,
         )
         for loop in loops:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
@@ -126,6 +126,7 @@
             outcome = await self.exchange(
                 job, endpoint, seconds, connect_seconds
             )
+            self.record_version(job, endpoint, outcome)
         finally:
             self.loads.end(load)
             await self.room.placement.release(job, endpoint.identity)
@@ -133,6 +134,20 @@
             self.preferences.observe_rejection(endpoint)
         return outcome
 
+    def record_version(
+        self,
+        job: Job,
+        endpoint: Endpoint,
+        outcome: Answer | NotRun | MayHaveRun,
+    ) -> None:
+        """Count the outcome of a run for a version that is rolled out."""
+        if isinstance(outcome, NotRun):
+            return
+        failed = (
+            isinstance(outcome, MayHaveRun) or outcome.status >= SERVER_ERROR
+        )
+        self.sender.rollouts.record(job, endpoint, failed=failed)
+
     async def exchange(
         self,
         job: Job,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_selector.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_selector.py
@@ -27,6 +27,7 @@
     LoadTracker,
 )
 from turmericyard_node.forwarding.platform_state import PlatformState
+from turmericyard_node.forwarding.rollout.rollouts import Rollouts
 from turmericyard_ports.configuration import Service
 from turmericyard_ports.settings import Bounds
 from turmericyard_protocol.fleet_messages import (
@@ -60,6 +61,8 @@
     #: What this node has placed at brittle endpoints, also for others.
     placed: PlacedRequests = field(default_factory=PlacedRequests)
     random: Random = field(default_factory=Random)
+    #: Draws the version of each request while one is rolled out.
+    rollouts: Rollouts | None = None
 
     def place(self, job: Job, *, as_hub: bool = False) -> Endpoint | None:
         """Return the endpoint for a request, None when none has room.
@@ -119,7 +122,11 @@
             self.zone,
             int(job.prompt_tokens()),
             int(job.memory_tokens()),
-            (*job.excluded_endpoints, *self.backing_off(job)),
+            (
+                *job.excluded_endpoints,
+                *self.backing_off(job),
+                *(self.rollouts.avoided(job) if self.rollouts else ()),
+            ),
             job.attempt,
             self.trials.suspects(job.part_marks),
         )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -44,6 +44,7 @@
     PlaceEnd,
     PlaceReply,
     PlaceRequest,
+    RolloutCount,
     ViewItemsReply,
     ViewItemsRequest,
 )
@@ -80,6 +81,11 @@
     copy_place_for_peer: (
         Callable[[CopyPlaceRequest], Endpoint | None] | None
     ) = None
+    #: Tells one process of this node from the next.
+    started: int = 0
+    #: Return this node's counts for roll-outs, and record those of a node.
+    rollout_counts: Callable[[], tuple[RolloutCount, ...]] = tuple
+    record_rollouts: Callable[[str, FleetBeat], None] | None = None
 
     @property
     def own(self) -> Member:
@@ -134,6 +140,8 @@
             self.platform_state.view.era,
             self.paths.is_cut_off,
             self.paces.report(hub),
+            rollouts=self.rollout_counts(),
+            started=self.started,
         )
 
     async def run_beats(self) -> None:
@@ -245,6 +253,8 @@
             sender, self.membership.zone_of(sender), payload
         )
         self.paces.receive(sender, payload.paces)
+        if self.record_rollouts is not None:
+            self.record_rollouts(sender, payload)
         await self.hub.findings.receive(payload.findings)
         stale = (
             self.clock() - self.contact.last_store_contact_at > STALE_SECONDS
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/forwarder_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/forwarder_assembly.py
@@ -11,6 +11,7 @@
 from turmericyard_node.forwarding.moves import RunCopier
 from turmericyard_node.forwarding.options import NodeOptions
 from turmericyard_node.forwarding.request_handler import RequestHandler
+from turmericyard_node.forwarding.rollout.rollouts import Rollouts
 from turmericyard_node.forwarding.runs import RunRegistry
 from turmericyard_node.forwarding.sending import Sender
 from turmericyard_node.forwarding.stream_failover import StreamFailover
@@ -27,6 +28,7 @@
     room: WaitingRoom,
     tasks: BackgroundTasks,
     options: NodeOptions,
+    rollouts: Rollouts,
 ) -> tuple[RequestHandler, RunCopier]:
     """Return the parts that forward requests and move their runs."""
     loads = fleet.loads
@@ -38,6 +40,7 @@
         boot_seconds,
         instruments,
         CrashDetector(fleet.hub.findings, tasks, fleet.paths),
+        rollouts,
     )
     hedging = None
     if options.hedging.share:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
@@ -96,6 +96,13 @@
             async with curio.ignore_after(HUB_TIMEOUT_SECONDS):
                 await self.fleet.mesh.send(hub, PlaceEnd(identity, job.attempt))
 
+    def other_versions(self, job: Job, source: Endpoint) -> list[str]:
+        """Return the endpoints of other versions than that of a run."""
+        rollouts = self.endpoint_selector.rollouts
+        if rollouts is None:
+            return []
+        return rollouts.avoided_for_copy(job.service.name, source)
+
     async def place_copy(
         self,
         job: Job,
@@ -119,6 +126,7 @@
                 source.identity,
                 *excluded_endpoints,
                 *self.endpoint_selector.backing_off(job),
+                *self.other_versions(job, source),
             ),
         )
         _, reply = await self.ask_hubs(request)
