--- a/features/steps/forwarding_fleet_queue_steps.py
+++ b/features/steps/forwarding_fleet_queue_steps.py
@@ -273,7 +273,7 @@
         elif fault == 'is offered by a hub that was left':
             with no_room():
                 task = (await ask_many(world, node, 1))[0]
-                waiting = world.nodes[node].room.placement.queue.waiting
+                waiting = world.nodes[node].room.placement.queue.load().waiting
                 taken = await waiting.take('n-x', PlaceOffer('at-0', 'i-0'))
                 assert not taken.taken
                 await task.cancel()
