Log which source a node takes changes from, and when it changes

Cause: the logs of a node that is late with a configuration do not tell whether it trusted a hub that had lost the store, lost its links to the hubs, or waited on the store; a reply between nodes that is malformed or too long ends its link without a trace, and a configuration with a version that is in force already is dropped silently.

Change: events 215 and 216 when a node begins and ceases to read the store itself, with the age of each hub's last answer; 305 when a hub is excluded, with whether its link was used before; 202 for another content of a known version; 301 for malformed replies too; the source of each configuration in 200; "on a connection used before" in store:unavailable.

No decision depends on what is added.

--- a/packages/turmericyard-http/src/turmericyard_http/client.py
+++ b/packages/turmericyard-http/src/turmericyard_http/client.py
@@ -121,14 +121,15 @@
                 await sending
                 return Success(await read())
         except curio.TaskTimeout:
-            await connection.close()
-            return Failure(AnswerLost(self.address, 'timeout'))
+            detail = 'timeout'
         except EXCHANGE_ERRORS as error:
-            await connection.close()
-            return Failure(AnswerLost(self.address, describe_error(error)))
+            detail = describe_error(error)
         except curio.CancelledError:
             await connection.close()
             raise
+        await connection.close()
+        reused = connection.idle_since is not None
+        return Failure(AnswerLost(self.address, detail, reused=reused))
 
     async def acquire(
         self, fresh: bool, may_send: Guard
@@ -159,8 +160,10 @@
 
     def is_usable(self, connection: ClientConnection) -> bool:
         """Return whether an idle connection is recent and still open."""
-        age = self.clock() - connection.idle_since
-        return age < MAX_IDLE_SECONDS and not connection.has_input()
+        idle_since = connection.idle_since
+        if idle_since is None or self.clock() - idle_since >= MAX_IDLE_SECONDS:
+            return False
+        return not connection.has_input()
 
     async def release(self, connection: ClientConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
--- a/packages/turmericyard-http/src/turmericyard_http/connection.py
+++ b/packages/turmericyard-http/src/turmericyard_http/connection.py
@@ -36,7 +36,8 @@
     def __init__(self, sock: Any, host: str) -> None:
         self.sock = sock
         self.host = host
-        self.idle_since: float = 0
+        #: When it became idle last, None during its first exchange.
+        self.idle_since: float | None = None
         self.protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
         )
--- a/packages/turmericyard-http/src/turmericyard_http/errors.py
+++ b/packages/turmericyard-http/src/turmericyard_http/errors.py
@@ -18,12 +18,14 @@
 class AnswerLost(Struct, frozen=True):
     """The request was sent, at least in part: it may have run.
 
-    With `broken` the connection failed; the time limit had not expired.
+    With `broken` the connection failed; the time limit had not expired. With
+    `reused` it had carried an earlier exchange.
     """
 
     address: str
     detail: str
     broken: bool = False
+    reused: bool = False
 
     @property
     def message(self) -> str:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/assembly.py
@@ -110,6 +110,7 @@
             boot_seconds,
             fleet.hub_choice.follows_store,
             partial(is_relied_on, fleet),
+            fleet.hub_choice.store_ages,
         ),
         fleet,
         discovery,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -16,6 +16,7 @@
 from turmericyard_http.clock import Clock
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.contact import ContactTimes
+from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.balancing.endpoint_paces import EndpointPaces
 from turmericyard_node.forwarding.endpoint_evidence import AnswerTally
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
@@ -34,7 +35,7 @@
     read_entries,
 )
 from turmericyard_node.members import Member, Membership
-from turmericyard_node.peers.mesh import PeerMesh
+from turmericyard_node.peers.mesh import PeerMesh, is_linked
 from turmericyard_node.peers.tunnel import TunnelServer
 from turmericyard_protocol.fleet_messages import (
     CopyPlaceRequest,
@@ -162,6 +163,7 @@
     async def exchange_heartbeat(self, node: str) -> None:
         """Send a heartbeat to a hub and apply its reply."""
         sent_at = self.clock()
+        reused = is_linked(self.mesh, node)
         reply = await self.mesh.request(
             node, self.create_heartbeat(node), REPLY_SECONDS
         )
@@ -171,6 +173,7 @@
             await self.apply_update(node, update)
             return
         self.contact.record_peer_failure(node, self.clock())
+        log_event(Event.HUB_EXCLUDED, peer=node, reused=reused)
         self.hub_choice.exclude(node)
         await self.mesh.drop(node)
 
@@ -200,7 +203,8 @@
         await self.hub.findings.receive(update.findings)
         if not update.whole and update.sequence > report.sequence + 1:
             report.sequence = 0
-            self.platform_state.view.apply(0, read_changes(update.items))
+            with self.platform_state.receiving_from(node):
+                self.platform_state.view.apply(0, read_changes(update.items))
             await self.platform_state.flush()
             return
         if update.whole:
@@ -216,7 +220,8 @@
             self.contact.record_store_contact(
                 report.received_at - report.store_age
             )
-        self.apply_items(update)
+        with self.platform_state.receiving_from(node):
+            self.apply_items(update)
         await self.platform_state.flush()
 
     def apply_items(self, update: HubUpdate) -> None:
@@ -235,9 +240,12 @@
         reply = await self.mesh.request(node, ViewItemsRequest(revision, era))
         received = reply.value_or(None)
         if isinstance(received, ViewItemsReply) and received.revision:
-            self.platform_state.view.replace(
-                received.revision, read_entries(received.items), received.era
-            )
+            with self.platform_state.receiving_from(node):
+                self.platform_state.view.replace(
+                    received.revision,
+                    read_entries(received.items),
+                    received.era,
+                )
             await self.platform_state.flush()
 
     @singledispatchmethod
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
@@ -60,6 +60,10 @@
     clock: Clock
     is_needed: Callable[[], bool]
     is_relied_on: Callable[[], bool]
+    #: Returns the age of each hub's last answer from the store, for the log.
+    store_ages: Callable[[], dict[str, float]] = dict
+    #: Whether this node read the store when it was last checked.
+    was_needed: bool = False
     random: Random = field(default_factory=Random)
     loaded: bool = False
     relist_at: float = 0
@@ -75,7 +79,8 @@
         """Follow the store until cancelled."""
         self.store.eras.on_invalid = log_invalid_era
         while True:
-            if self.loaded and not self.is_needed():
+            self.log_need()
+            if self.loaded and not self.was_needed:
                 await curio.sleep(CHECK_SECONDS)
                 continue
             if self.clock() >= self.relist_at or self.is_behind():
@@ -84,6 +89,14 @@
             await self.platform_state.flush()
             await curio.sleep(self.pause(answered=answered))
 
+    def log_need(self) -> None:
+        """Log when this node begins or ceases to read the store itself."""
+        needed = self.is_needed()
+        if needed != self.was_needed:
+            self.was_needed = needed
+            event = Event.STORE_FOLLOWED if needed else Event.HUBS_FOLLOWED
+            log_event(event, ages=self.store_ages())
+
     def pause(self, *, answered: bool) -> float:
         """Return the time until the next call, in seconds."""
         if answered:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub_choice.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub_choice.py
@@ -121,6 +121,17 @@
             failures.append(failed)
         return all(failures)
 
+    def store_ages(self) -> dict[str, float]:
+        """Return the age of each hub's last known answer from the store.
+
+        In seconds, by the name of the hub.
+        """
+        now = self.clock()
+        return {
+            node: round(now - report.received_at + report.store_age, 3)
+            for node, report in self.reports.items()
+        }
+
     def follows_store(self) -> bool:
         """Return whether this node must read the store itself."""
         if self.is_hub():
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/platform_state.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/platform_state.py
@@ -1,6 +1,7 @@
 """What the node knows of the platform: configuration, zones, endpoints."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import curio
@@ -27,6 +28,8 @@
 #: Time after its notice for which an endpoint may still continue a run, in
 #: seconds: half of the time within which it may still get requests.
 CONTINUE_AFTER_NOTICE_SECONDS = 1.0
+#: Source of the changes that this node read from the store itself.
+STORE_SOURCE = 'store'
 
 
 @dataclass(slots=True)
@@ -51,6 +54,17 @@
     #: Set by `flush` after the view has moved to another era.
     restored: curio.Event = field(default_factory=curio.Event)
     flushed_era: int = 0
+    #: What the changes come from that are applied now, for the log.
+    source: str = STORE_SOURCE
+
+    @contextmanager
+    def receiving_from(self, node: str) -> Iterator[None]:
+        """Note in the log that changes in this block come from a node."""
+        self.source = node
+        try:
+            yield
+        finally:
+            self.source = STORE_SOURCE
 
     def observe(self, change: Change) -> None:
         """Apply one change of the store and call the listeners."""
@@ -103,8 +117,9 @@
         self, configuration: Configuration, revision: int
     ) -> None:
         """Put a configuration in force unless its version is not newer."""
-        known = self.route_table
-        if known and known.configuration.version >= configuration.version:
+        known = self.route_table.configuration if self.route_table else None
+        if known and known.version >= configuration.version:
+            self.log_ignored(known, configuration, revision)
             return
         self.route_table = index_routes(configuration)
         log_event(
@@ -112,8 +127,21 @@
             version=configuration.version,
             revision=revision,
             routes=len(configuration.routes),
+            source=self.source,
         )
 
+    def log_ignored(
+        self, known: Configuration, other: Configuration, revision: int
+    ) -> None:
+        """Log a configuration with the version, but not the content, in force."""
+        if known.version == other.version and known != other:
+            log_event(
+                Event.CONFIGURATION_IGNORED,
+                version=other.version,
+                revision=revision,
+                source=self.source,
+            )
+
     def apply_endpoint_change(self, change: Change) -> bool:
         """Apply a change of an endpoint's record; return whether it differs.
 
--- a/packages/turmericyard-node/src/turmericyard_node/peers/link.py
+++ b/packages/turmericyard-node/src/turmericyard_node/peers/link.py
@@ -7,6 +7,7 @@
 import curio
 from returns.result import Failure, Result, Success
 
+from turmericyard_node.events import Event, log_event
 from turmericyard_node.peers.channel import (
     Channel,
     ChannelClosed,
@@ -118,7 +119,11 @@
             if isinstance(decoded, Success):
                 envelope: Envelope = decoded.unwrap()
                 return envelope
-            if not isinstance(decoded.failure(), UnknownMessageType):
+            error = decoded.failure()
+            if not isinstance(error, UnknownMessageType):
+                log_event(
+                    Event.PEER_MALFORMED, peer=self.node, message=error.message
+                )
                 return None
 
     async def close(self) -> None:
--- a/packages/turmericyard-node/src/turmericyard_node/peers/mesh.py
+++ b/packages/turmericyard-node/src/turmericyard_node/peers/mesh.py
@@ -288,6 +288,12 @@
     return FIRST_FORM if link is None else link.channel.form
 
 
+def is_linked(mesh: PeerMesh, node: str) -> bool:
+    """Return whether there is an open link to a peer."""
+    link = mesh.links.get(node)
+    return link is not None and not link.closed
+
+
 def open_channels(mesh: PeerMesh) -> list[Channel]:
     """Return the open channels to and from all peers."""
     links = (*mesh.links.values(), *mesh.monitor_links.values())
