Repeat a call to the store at once after a connection fell silent

Callers saw (CONFIG): "refused with 404 as an older version says; version 141 was acked more than 2000 ms before". Nodes were up to 4.5 s behind a version after their open connections fell silent, with new ones working.

Cause: a call that timed out on a connection that had been used before was taken for an outage of the store: the next one followed after 0.2 to 0.4 s at hubs and 0.8 to 1.6 s at other nodes, and could take another connection of the pool that was as dead, for 1.5 s more. Ruled out: an outage (the store answered new connections all the while), late hubs alone (the new test also fails with the connections to the store only).

--- /dev/null
+++ b/features/forwarding/silent_connections.feature
@@ -0,0 +1,17 @@
+Feature: Nodes follow the configuration when their connections fall silent
+
+  Connections that are open at one moment pass nothing from then on; new ones
+  work. A node is in touch again 3 seconds later.
+
+  # Guards against nodes that take a silent connection for a lost hub or store.
+  Scenario Outline: Connections <where> fall silent while the configuration changes
+    Given <nodes> nodes in touch with each other and the store
+    When all connections <where> fall silent while a version is written each 0.3 seconds
+    Then each version is in force 2 seconds after it was written at all nodes in touch
+
+    Examples:
+      | nodes | where                      |
+      | 4     | everywhere                 |
+      | 6     | everywhere                 |
+      | 4     | between the nodes          |
+      | 4     | to the store               |
--- /dev/null
+++ b/features/steps/forwarding_silent_connections_steps.py
@@ -0,0 +1,113 @@
+"""Steps for connections that fall silent while the configuration changes."""
+
+from itertools import count
+
+import curio
+from behave import given, then, when
+from behave.runner import Context
+
+from support.fleet.world import Answer, read_answer, request_lines
+from support.fleet_soak.fleet_checks import APPLY_SECONDS
+from support.fleet_soak.load import FAILURES
+from support.fleet_soak.nodes import NodeProcess
+from support.fleet_soak.request_checks import NOT_FOUND
+from support.fleet_soak.stage import Stage, open_stage
+from turmericyard_http.clock import boot_seconds
+from turmericyard_http.connection import connect
+
+#: Time after a disturbance from which a node is in touch (stableWindowMs).
+STABLE_SECONDS = 3.0
+#: How long versions are written, and the nodes are watched, in seconds.
+WRITING_SECONDS = 4.0
+WATCHED_SECONDS = 8.0
+POLL_SECONDS = 0.05
+ANSWER_SECONDS = 1.0
+#: Prefix of the names of the links that fall silent.
+LINKS = {'everywhere': '', 'between the nodes': 'peer', 'to the store': 'store'}
+numbers = count()
+
+
+@given('{nodes:d} nodes in touch with each other and the store')
+def step_nodes(context: Context, nodes: int) -> None:
+    context.node_count = nodes
+
+
+@when(
+    'all connections {where} fall silent while a version is written each'
+    ' {seconds:g} seconds'
+)
+def step_silent(context: Context, where: str, seconds: float) -> None:
+    async def scenario() -> list[str]:
+        stage = await open_stage(context.launcher, context.node_count, 2)
+        try:
+            await curio.sleep(STABLE_SECONDS)
+            return await silence(stage, LINKS[where], seconds)
+        finally:
+            await stage.close()
+
+    context.late = curio.run(scenario)
+
+
+async def silence(stage: Stage, prefix: str, pause: float) -> list[str]:
+    """Return the requests that a node refused for lack of a due version."""
+    began = boot_seconds()
+    for name, link in stage.links.items():
+        if name.startswith(prefix):
+            await link.control({'mode': 'silent'})
+    late: list[str] = []
+    async with curio.TaskGroup() as group:
+        await group.spawn(write_versions, stage, pause)
+        for node in stage.nodes.values():
+            await group.spawn(watch, stage, node, began, late)
+    return late
+
+
+async def write_versions(stage: Stage, pause: float) -> None:
+    ends = boot_seconds() + WRITING_SECONDS
+    while boot_seconds() < ends:
+        stage.write_configuration()
+        await curio.sleep(pause)
+
+
+async def watch(
+    stage: Stage, node: NodeProcess, began: float, late: list[str]
+) -> None:
+    """Ask a node for the newest version that has to be in force there."""
+    while boot_seconds() < began + WATCHED_SECONDS:
+        now = boot_seconds()
+        due = [
+            version
+            for version, written in stage.versions.items()
+            if now > max(written + APPLY_SECONDS, began + STABLE_SECONDS)
+        ]
+        if due and await status_of(node, f'/v{due[-1]}/a') == NOT_FOUND:
+            age = now - stage.versions[due[-1]]
+            late.append(f'{node.name} lacks version {due[-1]} of {age:.2f} s')
+        await curio.sleep(POLL_SECONDS)
+
+
+async def status_of(node: NodeProcess, target: str) -> int:
+    """Return the status of a call on a new connection, 0 without an answer."""
+    answer = Answer()
+    lines = request_lines(f'at-{next(numbers)}', 1000, b'body')
+    try:
+        async with curio.timeout_after(ANSWER_SECONDS):
+            connection = await connect(node.front)
+            try:
+                await connection.send_lines(
+                    b'POST', target.encode(), lines, b'body'
+                )
+                await read_answer(connection, answer)
+            finally:
+                await connection.close()
+    except (*FAILURES, curio.TaskTimeout):
+        return answer.status
+    return answer.status
+
+
+@then(
+    'each version is in force {seconds:d} seconds after it was written at all'
+    ' nodes in touch'
+)
+def step_in_force(context: Context, seconds: int) -> None:
+    assert not context.late, (len(context.late), context.late[:8])
--- a/packages/turmericyard-http/src/turmericyard_http/client.py
+++ b/packages/turmericyard-http/src/turmericyard_http/client.py
@@ -1,7 +1,9 @@
 """HTTP/1.1 client of one address: pooled connections, streamed responses.
 
 A connection whose exchange failed is closed and never reused, so that a late
-response cannot be taken for the response to another request.
+response cannot be taken for the response to another request. The idle ones are
+closed with it: what made it fail, such as a router that lost its state, may
+have made them silent too.
 """
 
 from collections.abc import Awaitable, Callable, Mapping
@@ -80,6 +82,8 @@
         )
         if isinstance(outcome, Success):
             await self.release(connection)
+        else:
+            await self.close()
         return outcome
 
     async def open_stream(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
@@ -11,6 +11,7 @@
     Change,
     Snapshot,
     Store,
+    StoreAnswerLost,
     StoreError,
     WatchBatch,
     WatchCompacted,
@@ -64,6 +65,9 @@
     store_ages: Callable[[], dict[str, float]] = dict
     #: Whether this node read the store when it was last checked.
     was_needed: bool = False
+    #: Whether the last call failed, and whether the next one follows at once.
+    has_failed: bool = False
+    retries_now: bool = False
     random: Random = field(default_factory=Random)
     loaded: bool = False
     relist_at: float = 0
@@ -99,6 +103,9 @@
 
     def pause(self, *, answered: bool) -> float:
         """Return the time until the next call, in seconds."""
+        if self.retries_now:
+            self.retries_now = False
+            return 0
         if answered:
             return (
                 PAUSE_SECONDS if self.is_relied_on() else FALLBACK_PAUSE_SECONDS
@@ -188,6 +195,7 @@
     def record_answer(self) -> None:
         """Record an answer of the store."""
         now = self.clock()
+        self.has_failed = False
         self.contact.record_store_contact(now)
         registry = self.platform_state.registry
         self.answered_before = self.answered_at
@@ -196,7 +204,15 @@
         registry.expire(now)
 
     def record_failure(self, error: StoreError) -> None:
-        """Record a failed call."""
+        """Record a failed call.
+
+        The first answer that is lost may only be that of a connection which
+        fell silent: the call is repeated at once, on another one.
+        """
+        self.retries_now = isinstance(error, StoreAnswerLost) and not (
+            self.has_failed
+        )
+        self.has_failed = True
         self.contact.record_store_failure(error.message)
         self.platform_state.registry.failed_at = self.clock()
 
