Replace links between nodes that fell silent

Cause: a hub that did not reply on a silent link was excluded for 3 s, though a new link reaches it, and a hub sends its updates on links on which it gets no replies, so that it went on sending on a silent one for good: the node got each change with the full state in the reply to a later heartbeat, up to 1.1 s late, twice a second.

Change: a hub is asked once more on a new link, within 0.5 s, before it is excluded; a node that misses updates twice in 2 s gets a new link (event 306, metric full_replies_total).

--- a/features/forwarding/silent_connections.feature
+++ b/features/forwarding/silent_connections.feature
@@ -15,3 +15,10 @@
       | 6     | everywhere                 |
       | 4     | between the nodes          |
       | 4     | to the store               |
+
+  # Guards against hubs whose updates are lost on a link that fell silent.
+  Scenario: Updates reach the nodes again after their links fell silent
+    Given a world with 2 plain endpoints and 4 nodes
+    When the open connections between the nodes fall silent while endpoints change
+    Then no hub is excluded
+    And from 3 seconds later on no node needs the full state
--- a/features/steps/forwarding_silent_connections_steps.py
+++ b/features/steps/forwarding_silent_connections_steps.py
@@ -6,7 +6,10 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from support.fleet.world import Answer, read_answer, request_lines
+from steps.forwarding_knowledge_steps import logged
+from support.fleet.cuts import SilentSocket
+from support.fleet.scenario import run
+from support.fleet.world import Answer, World, read_answer, request_lines
 from support.fleet_soak.fleet_checks import APPLY_SECONDS
 from support.fleet_soak.load import FAILURES
 from support.fleet_soak.nodes import NodeProcess
@@ -14,6 +17,8 @@
 from support.fleet_soak.stage import Stage, open_stage
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.connection import connect
+from turmericyard_node.events import Event
+from turmericyard_node.peers.mesh import open_channels
 
 #: Time after a disturbance from which a node is in touch (stableWindowMs).
 STABLE_SECONDS = 3.0
@@ -111,3 +116,47 @@
 )
 def step_in_force(context: Context, seconds: int) -> None:
     assert not context.late, (len(context.late), context.late[:8])
+
+
+@when(
+    'the open connections between the nodes fall silent while endpoints change'
+)
+def step_links_silent(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        changing = await curio.spawn(change_endpoint, world, daemon=True)
+        await curio.sleep(1)
+        for node in world.nodes.values():
+            for channel in open_channels(node.fleet.mesh):
+                channel.sock = SilentSocket(channel.sock)
+        await curio.sleep(STABLE_SECONDS)
+        replies = full_replies(world)
+        await curio.sleep(STABLE_SECONDS)
+        context.full_replies = full_replies(world) - replies
+        await changing.cancel()
+
+    context.excluded = []
+    with logged(Event.HUB_EXCLUDED, context.excluded):
+        run(context, scenario)
+
+
+async def change_endpoint(world: World) -> None:
+    """Change the record of an endpoint five times a second."""
+    for number in count():
+        world.register('i-0', 'plain', slots=8 + number % 2)
+        await curio.sleep(0.2)
+
+
+def full_replies(world: World) -> int:
+    return sum(
+        node.fleet.hub.delivery.full_replies for node in world.nodes.values()
+    )
+
+
+@then('no hub is excluded')
+def step_none_excluded(context: Context) -> None:
+    assert not context.excluded, context.excluded
+
+
+@then('from 3 seconds later on no node needs the full state')
+def step_no_full_state(context: Context) -> None:
+    assert context.full_replies == 0, context.full_replies
--- a/features/support/fleet/cuts.py
+++ b/features/support/fleet/cuts.py
@@ -87,6 +87,32 @@
         return self.sock.fileno()
 
 
+@dataclass(eq=False)
+class SilentSocket:
+    """A socket whose bytes are lost in both directions, without an error."""
+
+    sock: Any
+
+    async def recv(self, size: int) -> bytes:
+        while True:
+            await curio.sleep(POLL_SECONDS)
+
+    async def sendall(self, data: bytes) -> None:
+        """Drop the bytes."""
+
+    async def shutdown(self, how: int) -> None:
+        """Tell the peer nothing."""
+
+    async def close(self) -> None:
+        """Leave the connection open for the peer."""
+
+    def setsockopt(self, *options: Any) -> None:
+        self.sock.setsockopt(*options)
+
+    def fileno(self) -> int:
+        return self.sock.fileno()
+
+
 def watch_links(node: ForwardingApplication) -> NodeLinks:
     """Put a node's connections to runners under the control of a test."""
     fleet = node.fleet
--- a/packages/turmericyard-node/src/turmericyard_node/events.py
+++ b/packages/turmericyard-node/src/turmericyard_node/events.py
@@ -37,6 +37,7 @@
     PEER_HEARD = (303, 'peer:heard')
     PEER_ENDED = (304, 'peer:ended')
     HUB_EXCLUDED = (305, 'hub:excluded')
+    LINK_REPLACED = (306, 'link:replaced')
     ZONE_CLOSED = (220, 'zone:closed')
     ZONE_OPENED = (221, 'zone:opened')
     REQUEST_ANSWERED = (400, 'request:answered')
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/fleet.py
@@ -161,19 +161,20 @@
             await sleep_to_tick(HEARTBEAT_SECONDS)
 
     async def exchange_heartbeat(self, node: str) -> None:
-        """Send a heartbeat to a hub and apply its reply."""
-        sent_at = self.clock()
-        reused = is_linked(self.mesh, node)
-        reply = await self.mesh.request(
-            node, self.create_heartbeat(node), REPLY_SECONDS
-        )
-        update = reply.value_or(None)
-        if isinstance(update, HubUpdate):
-            self.contact.record_peer_contact(node, sent_at)
-            await self.apply_update(node, update)
+        """Send a heartbeat to a hub and apply its reply.
+
+        Without a reply on a link that was used before, the hub is asked once
+        more on a new one: links fall silent while their peers live.
+        """
+        is_used_link = is_linked(self.mesh, node)
+        if await send_heartbeat(self, node):
+            return
+        await self.mesh.drop(node)
+        if is_used_link and await send_heartbeat(self, node):
+            log_event(Event.LINK_REPLACED, peer=node)
             return
         self.contact.record_peer_failure(node, self.clock())
-        log_event(Event.HUB_EXCLUDED, peer=node, reused=reused)
+        log_event(Event.HUB_EXCLUDED, peer=node)
         self.hub_choice.exclude(node)
         await self.mesh.drop(node)
 
@@ -334,3 +335,19 @@
             return ViewItemsReply(0, ())
         items = encode_items(view.items.values())
         return ViewItemsReply(view.revision, items, view.era)
+
+
+async def send_heartbeat(fleet: Fleet, hub: str) -> bool:
+    """Send one heartbeat to a hub and apply the reply; return if it came."""
+    sent_at = fleet.clock()
+    update = None
+    async with curio.ignore_after(REPLY_SECONDS):
+        reply = await fleet.mesh.request(
+            hub, fleet.create_heartbeat(hub), REPLY_SECONDS
+        )
+        update = reply.value_or(None)
+    if not isinstance(update, HubUpdate):
+        return False
+    fleet.contact.record_peer_contact(hub, sent_at)
+    await fleet.apply_update(hub, update)
+    return True
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/gauges.py
@@ -50,6 +50,11 @@
         's',
         lambda: application.clock() - application.contact.last_store_contact_at,
     )
+    gauges.counter(
+        f'{PREFIX}.full_replies',
+        '{reply}',
+        lambda: application.fleet.hub.delivery.full_replies,
+    )
     register_paths(application, gauges)
     register_paces(application.fleet.paces, gauges)
     register_queue(application.room.placement.queue.hub_queue, gauges)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -19,7 +19,9 @@
 from turmericyard_http.clock import Clock
 from turmericyard_node.clock import sleep_to_tick
 from turmericyard_node.contact import ContactTimes
+from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.cut_off_nodes import CutOffNodes
+from turmericyard_node.forwarding.delivery import UpdateDelivery
 from turmericyard_node.forwarding.endpoint_evidence import FleetEvidence
 from turmericyard_node.forwarding.findings import (
     FindingRegistry,
@@ -86,6 +88,7 @@
     )
     #: Nodes to which an update could not be sent.
     outdated: set[str] = field(default_factory=set)
+    delivery: UpdateDelivery = field(default_factory=UpdateDelivery)
     #: Position of the store up to which changes were sent to the nodes.
     position: Position = (0, 0)
     members: tuple[tuple[str, bool], ...] = ()
@@ -136,8 +139,11 @@
             node in self.outdated
             or heartbeat.sequence < self.delivered_sequence()
         )
+        if missed and heartbeat.sequence:
+            self.delivery.record_missed(node, self.clock())
         if missed or heartbeat.sequence > self.sequence:
             self.outdated.discard(node)
+            self.delivery.full_replies += 1
             return self.full_update()
         empty = self.update(whole=False, members=(), ejections=None, items=())
         return replace(empty, sequence=heartbeat.sequence, revision=0, era=0)
@@ -256,6 +262,9 @@
         After a failure the node gets the full state with the next update or in
         reply to its next heartbeat, whichever comes first.
         """
+        if self.delivery.take_silent(node):
+            log_event(Event.LINK_REPLACED, peer=node)
+            await self.mesh.drop(node)
         try:
             async with curio.timeout_after(SEND_SECONDS):
                 sent = await self.mesh.send_frame(node, frame)
@@ -298,6 +307,7 @@
             if at < oldest:
                 self.forget(node)
                 self.outdated.discard(node)
+                self.delivery.forget(node)
 
 
 def create_hub(
