Bound the bodies that endpoints send without end, all together

Seen by another operator: a faulty runner sent bytes without end until its caller closed; the machine that had called it ran out of memory. Here each body was bounded (8 MB), and all of them together were not.

Cause: no limit over connections for what a node reads from endpoints.

Change: bodies and incomplete events of streams that are being read share a sixteenth of the node's memory, within its account of clients; over it the longest is given up. That holds for calls, failures of streams, events, reports, and connections through peers. Other HTTP clients of a process share 32 MB.

The stand-in's streams of events without end had a chunk of a wrong length, so that they ended at the first event.

--- /dev/null
+++ b/features/http/response_bodies.feature
@@ -0,0 +1,13 @@
+Feature: Response bodies that are read at the same time share a limit
+
+  Scenario: The longest body is given up for the others
+    Given bodies with a limit of 1000 bytes
+    When pieces of 400 bytes arrive of a body without end between those of 9 bodies of 80 bytes
+    Then the body without end is given up and the others are complete
+    And nothing is held when all have ended
+
+  # Guards against servers that send without end on many connections.
+  Scenario: Clients of servers that send without end stay within the limit
+    Given a server that sends bodies without end
+    When 24 requests of the HTTP client are answered by it at the same time
+    Then each fails and the memory grows by at most 64 MB
--- a/features/support/fleet/endless.py
+++ b/features/support/fleet/endless.py
@@ -1,5 +1,6 @@
 """An endpoint that sends bytes without end that are no answer."""
 
+import re
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
@@ -39,6 +40,7 @@
         + b'6\r\nid: 1\n\r\n',
         PIECE_CHUNK,
     ),
+    'trailers': (HEAD + ECHO % 0 + CHUNKED + b'0\r\nx: ', PIECE),
     'a failure in chunks': (FAILURE + CHUNKED, PIECE_CHUNK),
     'a failure in chunks, byte by byte': (FAILURE + CHUNKED, b'1\r\na\r\n'),
     'a failure with a length, byte by byte': (
@@ -52,8 +54,8 @@
     ),
     'a head, byte by byte': (HEAD + b'x: ', b'a'),
     'a body, byte by byte': (HEAD + ECHO % 0 + CHUNKED, b'1\r\na\r\n'),
-    'a stream of events': (STREAM, b'6\r\n: a\n\n\r\n'),
-    'a flood of events': (STREAM, b'6\r\n: a\n\n\r\n' * 1000),
+    'a stream of events': (STREAM, b'5\r\n: a\n\n\r\n'),
+    'a flood of events': (STREAM, b'5\r\n: a\n\n\r\n' * 1000),
     'an event, byte by byte': (
         HEAD
         + ECHO % 0
@@ -90,3 +92,36 @@
                     slow = len(again) < 100
                     await curio.sleep(DRIP_SECONDS if slow else 0)
         self.closed += 1
+
+
+ATTEMPT = re.compile(rb'x-turmericyard-attempt-id: (\S+)', re.IGNORECASE)
+#: Pieces that a runner that floods sends at a time.
+TOGETHER = 8
+
+
+@dataclass
+class FloodingRunner(EndlessRunner):
+    """Sends large blocks and the id of each request; reports by `reports`."""
+
+    reports: str = ''
+    #: Reports that were asked for.
+    reported: int = 0
+
+    async def flood(self, sock: Any) -> None:
+        async with sock:
+            with suppress(OSError):
+                request = await sock.recv(65_536)
+                kind = self.kind
+                if self.reports and b'/-/report' in request:
+                    kind = self.reports
+                    self.reported += 1
+                first, again = KINDS[kind]
+                found = ATTEMPT.search(request)
+                if found:
+                    first = first.replace(b'at-0', found[1])
+                await sock.sendall(first)
+                slow = len(again) < 100
+                block = again if slow else again * TOGETHER
+                while True:
+                    await sock.sendall(block)
+                    await curio.sleep(DRIP_SECONDS if slow else 0)
--- a/features/support/untrusted/process.py
+++ b/features/support/untrusted/process.py
@@ -21,12 +21,16 @@
 class LimitedNode(NodeProcess):
     """A node process whose settings name limits; `used` has its peaks."""
 
+    memory_mb: int = MEMORY_MB
     most_descriptors: int = 0
     most_unread: int = 0
 
     def settings(self) -> dict[str, Any]:
         settings = super().settings()
-        settings['limits'] |= {'memoryMb': MEMORY_MB, 'maxFds': DESCRIPTORS}
+        settings['limits'] |= {
+            'memoryMb': self.memory_mb,
+            'maxFds': DESCRIPTORS,
+        }
         return settings
 
     @property
--- a/packages/turmericyard-http/src/turmericyard_http/connection.py
+++ b/packages/turmericyard-http/src/turmericyard_http/connection.py
@@ -11,25 +11,19 @@
 import h11
 
 from turmericyard_http.messages import Headers, Response
+from turmericyard_http.response_bodies import PROCESS_BODIES, ResponseTooLong
 
 RECEIVE_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
 #: Requests up to this length, in bytes, are sent before the response is read:
 #: the empty send buffer of a socket holds them.
 MAX_BUFFERED_REQUEST_BYTES = 16_384
-#: Longest body that is kept in memory: pages of the platform's store, the
-#: longest valid responses, have about 1 MB.
-MAX_BODY_BYTES = 8_388_608
 #: Interim responses (status 1xx) accepted before the final response.
 MAX_INTERIM_RESPONSES = 16
 #: Validated heads of recent requests that are cached for reuse.
 MAX_CACHED_HEADS = 512
 
 
-class ResponseTooLong(EOFError):
-    """The response exceeds a limit that no valid response reaches."""
-
-
 class ClientConnection:
     """The client side of one connection; carries one exchange at a time."""
 
@@ -38,6 +32,7 @@
         self.host = host
         #: When it became idle last, None during its first exchange.
         self.idle_since: float | None = None
+        self.bodies = PROCESS_BODIES
         self.protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
         )
@@ -150,14 +145,15 @@
     async def read_rest(self) -> bytes:
         """Return the rest of the body; raises as `read_piece`.
 
-        Raises ResponseTooLong for more than `MAX_BODY_BYTES`.
+        Raises ResponseTooLong as `ResponseBodies.read_all`.
         """
-        return await read_all_pieces(self.read_piece)
+        return await self.bodies.read_all(self.read_piece)
 
     async def read_response(self) -> Response:
         """Return the complete response; raises EOFError when truncated."""
         status, headers = await self.read_head()
-        return Response(status, headers, await read_all_pieces(self.read_data))
+        body = await self.bodies.read_all(self.read_data)
+        return Response(status, headers, body)
 
     async def next_event(self) -> Any:
         """Return the next h11 event, reading as needed."""
@@ -193,21 +189,6 @@
             await self.sock.close()
 
 
-async def read_all_pieces(read: Callable[[], Awaitable[bytes]]) -> bytes:
-    """Return all pieces up to an empty one, joined.
-
-    Raises ResponseTooLong for more than `MAX_BODY_BYTES`.
-    """
-    parts = bytearray()
-    piece = await read()
-    while piece:
-        parts += piece
-        if len(parts) > MAX_BODY_BYTES:
-            raise ResponseTooLong(f'body longer than {MAX_BODY_BYTES} bytes')
-        piece = await read()
-    return bytes(parts)
-
-
 def has_input(sock: Any) -> bool:
     """Return whether a read or accept would return without waiting."""
     poller = select.poll()
--- a/packages/turmericyard-http/src/turmericyard_http/intake/account.py
+++ b/packages/turmericyard-http/src/turmericyard_http/intake/account.py
@@ -15,6 +15,8 @@
     RESPONSES = 'responses'
     #: Input and output that the system holds for connections.
     SYSTEM = 'system'
+    #: Bodies of endpoints' answers that are being read.
+    ENDPOINTS = 'endpoints'
 
 
 class Reason(Enum):
@@ -27,6 +29,8 @@
     BUFFERS = 'buffers'
     UNREAD_RESPONSE = 'unread response'
     DESCRIPTORS = 'descriptors'
+    #: The body of an endpoint's answer was given up, not a client.
+    ENDPOINT_BODY = 'endpoint body'
 
 
 def ignore_rejection(reason: Reason) -> None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/clients/bounds.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/clients/bounds.py
@@ -22,6 +22,7 @@
     connection_bound,
 )
 from turmericyard_http.intake.watch import INTERVAL_SECONDS, ConnectionWatch
+from turmericyard_http.response_bodies import create_bodies
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.forwarding.options import ClientOptions
 from turmericyard_node.forwarding.platform_state import PlatformState
@@ -179,15 +180,18 @@
 
 
 def bound_endpoints(application: Any) -> None:
-    """Give connections to endpoints a fixed receive buffer and count it.
+    """Bound what endpoints make the node hold, and count it.
 
-    Nothing changes where memory has no bound.
+    Connections to them have a fixed receive buffer where memory has a bound.
     """
     bounds = application.client_bounds
+    fleet = application.fleet
+    fleet.paths.bodies = create_bodies(
+        application.settings.memory_bytes, bounds.account
+    )
     if not bounds.account.bound:
         return
     size = bounds.options.endpoint_buffer_bytes
-    fleet = application.fleet
     for owner in (fleet.paths, fleet.tunnels):
         owner.dial = partial(dial_bounded, owner.dial, size)
     bounds.endpoint_sockets = partial(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_response.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_response.py
@@ -14,6 +14,7 @@
 from turmericyard_http.connection import ClientConnection, Connect
 from turmericyard_http.errors import AnswerLost, HttpError, NotSent
 from turmericyard_http.messages import Headers
+from turmericyard_http.response_bodies import BodyReading
 from turmericyard_ports.request import IncomingRequest
 
 OK = 200
@@ -44,6 +45,8 @@
     head: ResponseHead
     #: Bytes of the body that were read before the response was passed on.
     read_ahead: bytes = b''
+    #: Bytes of an incomplete event, once there are any.
+    incomplete: BodyReading | None = None
 
     @property
     def succeeded(self) -> bool:
@@ -72,8 +75,20 @@
         self.read_ahead = b''
         return ahead
 
+    def hold(self, size: int) -> None:
+        """Count the bytes of an incomplete event that are held.
+
+        Raises ResponseTooLong when they are too many with those of others.
+        """
+        if self.incomplete is None and size:
+            self.incomplete = self.connection.bodies.begin()
+        if self.incomplete is not None:
+            self.connection.bodies.resize(self.incomplete, size)
+
     async def close(self) -> None:
         """Close the connection."""
+        if self.incomplete is not None:
+            self.connection.bodies.end(self.incomplete)
         await self.connection.close()
 
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/paths.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/paths.py
@@ -16,6 +16,7 @@
 from turmericyard_decisions.direct_paths import DirectPaths
 from turmericyard_http.clock import Clock
 from turmericyard_http.connection import ClientConnection, Connect, connect
+from turmericyard_http.response_bodies import ResponseBodies
 from turmericyard_node.events import Event, log_event
 from turmericyard_node.members import Member
 from turmericyard_node.peers.mesh import PeerMesh
@@ -54,6 +55,8 @@
     #: Set when this node is cut off from all endpoints, or is so no longer.
     changed: Any
     dial: Connect = connect
+    #: Memory of the answers on connections to endpoints.
+    bodies: ResponseBodies = field(default_factory=ResponseBodies)
     direct: DirectPaths = field(default_factory=DirectPaths)
     #: Until when each peer is asked last.
     avoided_until: dict[str, float] = field(default_factory=dict)
@@ -69,7 +72,15 @@
     async def connect(
         self, address: str, user_timeout_seconds: float = 0
     ) -> ClientConnection:
-        """Return a new connection to an endpoint; raises OSError.
+        """Return a new connection to an endpoint; raises OSError."""
+        connection = await self.open(address, user_timeout_seconds)
+        connection.bodies = self.bodies
+        return connection
+
+    async def open(
+        self, address: str, user_timeout_seconds: float
+    ) -> ClientConnection:
+        """Return a direct connection, or one through a peer; raises OSError.
 
         Takes as long as a direct attempt takes if no peer can help.
         """
