Follow a version that a restored store gets with other content

Callers would see (CONFIG): a route that was added is never served.

Cause: a configuration was put in force only with a higher version. A store that is restored from a copy loses versions, and the next writer may give the number of a lost one to other content: the nodes ignored it for good.

Change: the view, which orders changes by era, version and revision, decides what is newer; of two contents with one version the later one is in force.

--- a/features/forwarding/restored_store.feature
+++ b/features/forwarding/restored_store.feature
@@ -7,6 +7,12 @@
     When the store is restored, the operator writes version 5 again and then version 6 with a route
     Then every node serves the new route within 2 seconds
 
+  # Guards against an order of versions that ignores where the store wrote them.
+  Scenario: A version that was lost is written again with other content
+    Given a world with 2 plain endpoints and 3 nodes
+    When the store is restored and the operator writes version 5 again with a route
+    Then every node serves the new route within 2 seconds
+
   Scenario: Changes are seen after the revisions have passed those of before
     Given a world with 2 plain endpoints and 3 nodes
     When the store is restored and passes its old revision before any node asks
--- a/features/steps/forwarding_restored_store_steps.py
+++ b/features/steps/forwarding_restored_store_steps.py
@@ -63,6 +63,23 @@
     run(context, scenario)
 
 
+@when(
+    'the store is restored and the operator writes version 5 again with a route'
+)
+def step_other_content(context: Context) -> None:
+    async def scenario(world: World) -> None:
+        backup = world.store.back_up()
+        write_much(world)
+        world.store.put('op/config', manifest(5))
+        await curio.sleep(1)
+        await restore(world, backup)
+        await curio.sleep(0.5)
+        world.store.put('op/config', with_route_as(5))
+        await time_new_route(context, world)
+
+    run(context, scenario)
+
+
 @when('the store is restored and passes its old revision before any node asks')
 def step_passes_revision(context: Context) -> None:
     async def scenario(world: World) -> None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/platform_state.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/platform_state.py
@@ -116,10 +116,22 @@
     def apply_configuration(
         self, configuration: Configuration, revision: int
     ) -> None:
-        """Put a configuration in force unless its version is not newer."""
+        """Put a configuration in force unless its version is older.
+
+        The view passes on only what is newer in the store: other content with
+        the version in force replaces it.
+        """
         known = self.route_table.configuration if self.route_table else None
-        if known and known.version >= configuration.version:
-            self.log_ignored(known, configuration, revision)
+        if known == configuration:
+            return
+        if known and known.version > configuration.version:
+            log_event(
+                Event.CONFIGURATION_IGNORED,
+                version=configuration.version,
+                revision=revision,
+                known=known.version,
+                source=self.source,
+            )
             return
         self.route_table = index_routes(configuration)
         log_event(
@@ -130,18 +142,6 @@
             source=self.source,
         )
 
-    def log_ignored(
-        self, known: Configuration, other: Configuration, revision: int
-    ) -> None:
-        """Log a configuration with the version, but not the content, in force."""
-        if known.version == other.version and known != other:
-            log_event(
-                Event.CONFIGURATION_IGNORED,
-                version=other.version,
-                revision=revision,
-                source=self.source,
-            )
-
     def apply_endpoint_change(self, change: Change) -> bool:
         """Apply a change of an endpoint's record; return whether it differs.
 
