Send only the last change of a key in an update of a hub

Callers saw nothing: a node whose link closed got the full state with its next heartbeat, still in time.

Cause: an update had every change since the one before. Three versions of a configuration of 900 KB that are written together make a frame of more than the 2 MB that a peer accepts, and the peer closes the link, which other messages use too.

Change: a later change of a key replaces the one that waits.

--- a/features/forwarding/hub_news.feature
+++ b/features/forwarding/hub_news.feature
@@ -25,3 +25,9 @@
     Given a world with 2 plain endpoints and 1 node
     When a hub that receives heartbeats of 50 nodes reports a leaving endpoint
     Then 50 nodes receive the same encoded update
+
+  # Guards against updates that are longer than a peer accepts.
+  Scenario: Versions of a large configuration follow each other closely
+    Given a world with 2 plain endpoints and 4 nodes
+    When three versions of a configuration of 900 KB are written at the same moment
+    Then every node has the last one within 2 seconds and no link was closed
--- a/features/steps/forwarding_hub_news_steps.py
+++ b/features/steps/forwarding_hub_news_steps.py
@@ -9,9 +9,12 @@
 from behave.runner import Context
 from returns.result import Failure, Result, Success
 
+from steps.forwarding_knowledge_steps import has_version, logged
 from support.fleet.scenario import run
-from support.fleet.world import World
+from support.fleet.world import World, manifest
 from turmericyard_decisions.strikes import Strike
+from turmericyard_http.clock import boot_seconds
+from turmericyard_node.events import Event
 from turmericyard_node.forwarding.findings import create_findings
 from turmericyard_node.forwarding.hub_choice import HubReport
 from turmericyard_protocol.codec import decode
@@ -23,6 +26,8 @@
 #: Event loop iterations after which a task that was woken has run.
 LOOP_ITERATIONS = 20
 FIRST_SEQUENCE = 10
+KILOBYTE = 1024
+LARGE_VERSIONS = (5, 6, 7)
 
 
 def create_update(
@@ -205,3 +210,33 @@
 def step_same(context: Context, count: int) -> None:
     assert len(context.mesh.frames) == count
     assert len({id(frame) for frame in context.mesh.frames}) == 1
+
+
+@when(
+    'three versions of a configuration of {kilobytes:d} KB are written at the'
+    ' same moment'
+)
+def step_large(context: Context, kilobytes: int) -> None:
+    async def scenario(world: World) -> None:
+        filling = 'x' * (kilobytes * KILOBYTE)
+        for version in LARGE_VERSIONS:
+            world.store.put('op/config', manifest(version, note=filling))
+        began = boot_seconds()
+        for node in world.nodes.values():
+            await world.until(
+                partial(has_version, node, max(LARGE_VERSIONS)), 5
+            )
+        context.took = boot_seconds() - began
+
+    context.malformed = []
+    with logged(Event.PEER_MALFORMED, context.malformed):
+        run(context, scenario)
+
+
+@then(
+    'every node has the last one within {seconds:d} seconds and no link was'
+    ' closed'
+)
+def step_has_last(context: Context, seconds: int) -> None:
+    assert context.took <= seconds, context.took
+    assert not context.malformed, context.malformed
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hub.py
@@ -93,15 +93,17 @@
     position: Position = (0, 0)
     members: tuple[tuple[str, bool], ...] = ()
     cut_off_nodes: CutOffNodes = field(default_factory=CutOffNodes)
-    items: list[StoreItem] = field(default_factory=list)
+    #: The last change of each key since the last update.
+    items: dict[str, StoreItem] = field(default_factory=dict)
     #: Granted places and the time at which each stops counting; by then the
     #: heartbeats of its node include it.
     open_grants: deque[tuple[float, EndpointUse]] = field(default_factory=deque)
 
     def observe(self, change: Change) -> None:
         """Queue a change of the store for the next update."""
-        self.items.append(
-            StoreItem(change.key, change.value, change.revision, change.era)
+        self.items.pop(change.key, None)
+        self.items[change.key] = StoreItem(
+            change.key, change.value, change.revision, change.era
         )
 
     def record_heartbeat(
@@ -221,7 +223,7 @@
     async def send_changes(self) -> None:
         """Send what changed since the last update, if anything did."""
         members = self.changed_members()
-        items = tuple(self.items)
+        items = tuple(self.items.values())
         self.items.clear()
         is_same_era = self.position[0] == self.platform_state.view.era
         self.position = self.platform_state.view.position
