Check configurations in the soak from 3 s after each disturbance

Why tests missed the late configurations: the soak let only one link fall silent at a time, and excused a configuration when anything had troubled the node within 4 s before it was written, or since. The rule excuses only the 3 s before a request.

--- a/features/steps/forwarding_silent_connections_steps.py
+++ b/features/steps/forwarding_silent_connections_steps.py
@@ -10,7 +10,7 @@
 from support.fleet.cuts import SilentSocket
 from support.fleet.scenario import run
 from support.fleet.world import Answer, World, read_answer, request_lines
-from support.fleet_soak.fleet_checks import APPLY_SECONDS
+from support.fleet_soak.fleet_checks import APPLY_SECONDS, IN_TOUCH_SECONDS
 from support.fleet_soak.load import FAILURES
 from support.fleet_soak.nodes import NodeProcess
 from support.fleet_soak.request_checks import NOT_FOUND
@@ -20,8 +20,6 @@
 from turmericyard_node.events import Event
 from turmericyard_node.peers.mesh import open_channels
 
-#: Time after a disturbance from which a node is in touch (stableWindowMs).
-STABLE_SECONDS = 3.0
 #: How long versions are written, and the nodes are watched, in seconds.
 WRITING_SECONDS = 4.0
 WATCHED_SECONDS = 8.0
@@ -45,7 +43,7 @@
     async def scenario() -> list[str]:
         stage = await open_stage(context.launcher, context.node_count, 2)
         try:
-            await curio.sleep(STABLE_SECONDS)
+            await curio.sleep(IN_TOUCH_SECONDS)
             return await silence(stage, LINKS[where], seconds)
         finally:
             await stage.close()
@@ -83,7 +81,7 @@
         due = [
             version
             for version, written in stage.versions.items()
-            if now > max(written + APPLY_SECONDS, began + STABLE_SECONDS)
+            if now > max(written + APPLY_SECONDS, began + IN_TOUCH_SECONDS)
         ]
         if due and await status_of(node, f'/v{due[-1]}/a') == NOT_FOUND:
             age = now - stage.versions[due[-1]]
@@ -128,9 +126,9 @@
         for node in world.nodes.values():
             for channel in open_channels(node.fleet.mesh):
                 channel.sock = SilentSocket(channel.sock)
-        await curio.sleep(STABLE_SECONDS)
+        await curio.sleep(IN_TOUCH_SECONDS)
         replies = full_replies(world)
-        await curio.sleep(STABLE_SECONDS)
+        await curio.sleep(IN_TOUCH_SECONDS)
         context.full_replies = full_replies(world) - replies
         await changing.cancel()
 
--- a/features/support/fleet_soak/faults.py
+++ b/features/support/fleet_soak/faults.py
@@ -24,6 +24,8 @@
 LINK_MODES = ('cut', 'stalled', 'one-way', 'slow')
 RUNNER_FAULTS = ('error', 'hang', 'unsigned', 'foreign', 'reset', 'full')
 FAULTY_ANSWERS = (1, 12)
+#: Share of the times at which the connections of all links fall silent.
+ALL_LINKS_SHARE = 0.4
 #: Range of the delay after which SIGKILL follows SIGTERM, in seconds.
 IMPATIENCE = (0.1, 2.5)
 
@@ -172,10 +174,13 @@
 
 
 async def silence_connections(stage: Stage, source: Random) -> None:
-    """Make the open connections of one link silent for good."""
-    link = stage.links[source.choice(sorted(stage.links))]
+    """Make the open connections of one link, or of all, silent for good."""
+    links = [stage.links[source.choice(sorted(stage.links))]]
+    if source.random() < ALL_LINKS_SHARE:
+        links = list(stage.links.values())
     with stage.disturbed(CORE, 'runner'):
-        await link.control({'mode': 'silent'})
+        for link in links:
+            await link.control({'mode': 'silent'})
 
 
 async def end_runner(stage: Stage, source: Random) -> None:
--- a/features/support/fleet_soak/fleet_checks.py
+++ b/features/support/fleet_soak/fleet_checks.py
@@ -24,6 +24,9 @@
 REVOKE_SECONDS = 5.0
 #: Time without trouble after which bounds hold again (stableWindowMs).
 STABLE_SECONDS = 4.0
+#: Time after a disturbance of it from which a node is in touch, whenever the
+#: change was made (stableWindowMs).
+IN_TOUCH_SECONDS = 3.0
 #: Time past its grace in which an ended node's process exits, in seconds.
 EXIT_SECONDS = 1.0
 #: Time after the last failure within which every node serves, in seconds.
@@ -48,7 +51,7 @@
         version = int(asked.target.split('/')[1].removeprefix('v') or 0)
         since = stage.versions[version]
         in_touch = stage.calm(
-            since - STABLE_SECONDS, asked.began, asked.node, CORE
+            asked.began - IN_TOUCH_SECONDS, asked.began, asked.node, CORE
         )
         if in_touch and asked.began > since + APPLY_SECONDS:
             yield f'version {version} written at {since:.2f}: {told(asked)}'
