Never give up short answers of endpoints for memory

Callers would see (502): while clients take all memory that a node grants them, the account is full, and each answer of an endpoint would be given up, however short.

Change: only bodies of more than 64 KB are given up; usual answers are shorter, and connections bound their number. Names in the diff: has_news, count_incomplete.

--- a/features/steps/http_response_bodies_steps.py
+++ b/features/steps/http_response_bodies_steps.py
@@ -13,6 +13,7 @@
 from support.memory import MEGABYTE, peak_growth
 from turmericyard_bench.launch import LOOPBACK, free_port
 from turmericyard_http.client import HttpClient
+from turmericyard_http.intake.account import Kind, MemoryAccount
 from turmericyard_http.response_bodies import ResponseBodies, ResponseTooLong
 from turmericyard_http.server import open_listener
 
@@ -22,6 +23,13 @@
     context.bodies = ResponseBodies(limit)
 
 
+@given('bodies in a process whose clients take all memory')
+def step_full_account(context: Context) -> None:
+    account = MemoryAccount(bound=MEGABYTE)
+    account.take(Kind.BODIES, MEGABYTE)
+    context.bodies = ResponseBodies(account=account)
+
+
 def reader(pieces: chain[bytes]) -> Callable[[], Awaitable[bytes]]:
     async def read() -> bytes:
         await curio.sleep(0)
--- a/packages/turmericyard-http/src/turmericyard_http/response_bodies.py
+++ b/packages/turmericyard-http/src/turmericyard_http/response_bodies.py
@@ -17,6 +17,9 @@
 DEFAULT_LIMIT_BYTES = 33_554_432
 #: Share of a process's memory that bodies take together at most.
 MEMORY_SHARE = 0.0625
+#: Bodies up to this length are never given up: usual answers are shorter, and
+#: their memory is bounded by the number of connections.
+SHORT_BYTES = 65_536
 
 
 class ResponseTooLong(EOFError):
@@ -37,8 +40,8 @@
     """The bodies that are being read, within a limit for all together.
 
     Over the limit, of `limit` bytes or of the account of the process, the
-    longest one is given up: that of a server that sends without end becomes
-    the longest, so that those of other servers go on.
+    longest one is given up if it is not short: that of a server that sends
+    without end becomes the longest, so that those of other servers go on.
     """
 
     limit: int = DEFAULT_LIMIT_BYTES
@@ -59,19 +62,20 @@
         """
         if not reading.is_given_up:
             self.count(reading, size)
-            while self.is_over():
-                self.give_up(max(self.readings, key=size_of))
+            self.make_room()
         if reading.is_given_up:
             raise ResponseTooLong(
                 f'the bodies of all responses exceed {self.limit} bytes and'
                 ' this one was the longest'
             )
 
-    def is_over(self) -> bool:
-        """Return whether the bodies exceed a limit."""
-        if not self.used:
-            return False
-        return self.used > self.limit or not self.account.has_room(0)
+    def make_room(self) -> None:
+        """Give up the longest bodies while a limit is exceeded."""
+        while self.used > self.limit or not self.account.has_room(0):
+            longest = max(self.readings, key=size_of, default=None)
+            if longest is None or longest.size <= SHORT_BYTES:
+                return
+            self.give_up(longest)
 
     def give_up(self, reading: BodyReading) -> None:
         """Free the memory of a reading, which fails with its next piece."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_response.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/endpoint_response.py
@@ -75,7 +75,7 @@
         self.read_ahead = b''
         return ahead
 
-    def hold(self, size: int) -> None:
+    def count_incomplete(self, size: int) -> None:
         """Count the bytes of an incomplete event that are held.
 
         Raises ResponseTooLong when they are too many with those of others.
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/follow.py
@@ -101,9 +101,9 @@
 
     async def publish(self) -> None:
         """Tell the other parts of the node, and its hubs, of changes."""
-        is_ahead = self.platform_state.has_changed
+        has_news = self.platform_state.has_changed
         await self.platform_state.flush()
-        if is_ahead and not self.is_relied_on():
+        if has_news and not self.is_relied_on():
             await self.announce()
 
     def log_need(self) -> None:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -309,7 +309,9 @@
             data = await run.response.read()
         if data:
             events = run.event_joiner.feed(data)
-            run.response.hold(len(run.event_joiner.incomplete_event))
+            run.response.count_incomplete(
+                len(run.event_joiner.incomplete_event)
+            )
             if events:
                 was_established = run.is_established_here()
                 run.record_events(self.clock())
