Review: windows and segments like those between machines in cases 7 and 9

Cause: loopback takes megabytes at once, so that case 9 needed bodies close to the limit and case 7 missed one reset in three.

Change: the runners' listeners have small windows and segments as on Ethernet; ports are taken from a range that no test of the project uses.

--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -28,6 +28,9 @@
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 SEAL = 'X-Turmericyard-Response-Seal'
 ATTEMPT = 'X-Turmericyard-Attempt-Id'
+#: Receive buffer and segments of connections like those between machines.
+WINDOW_BYTES = 65_536
+SEGMENT_BYTES = 1_460
 NOT_RUN = {'X-Turmericyard-Not-Executed': '1'}
 
 
@@ -51,7 +54,7 @@
 def free_port(ip='127.0.0.1'):
     """Return a port below those that the system gives to outgoing connections."""
     while True:
-        port = random.randrange(18_000, 32_000)
+        port = random.randrange(10_000, 18_000)
         with socket.socket() as probe:
             try:
                 probe.bind((ip, port))
@@ -60,6 +63,22 @@
             return port
 
 
+def listen(ip, port):
+    """Return a listener whose connections are like those of a link.
+
+    Segments are as long as on Ethernet and windows are small. Those of loopback
+    are 45 times as long, and the system's buffers grow to megabytes with them.
+    """
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    listener.bind((ip, port))
+    listener.listen(128)
+    listener.setblocking(False)
+    return listener
+
+
 def reset(writer):
     """Reset a connection at once."""
     sock = writer.get_extra_info('socket')
