Stop a run at its endpoint before it goes on at another one

The caller saw a complete stream; two engines spent their slots and memory on it.

Cause: the node closed the connection to the endpoint and took that for the end of the run. Nothing told the endpoint to stop. Ruled out: that the request began anew (it goes on from event 11, with the backup's handle), and that the endpoint was out of reach (it takes other requests of the node at the same time).

Change: before a run goes on elsewhere, its endpoint gets the call for the last copy of a run, which stops it first. The run goes on with the reply, or 0.05 s later; the call is repeated without a reply, for 10 s or until the deadline. While the endpoint replies that another copy is being made, the run waits, 2 s at most. The copy is freed unless the run goes on from it. The same for a lost answer of a continued run, a resumable request that begins anew, and the run of a hedged stream that lost. HttpClient says whether a connection was refused: then nothing runs there.

Costs: one call and one connection for each stream that breaks.

--- a/features/steps/forwarding_hedging_steps.py
+++ b/features/steps/forwarding_hedging_steps.py
@@ -76,13 +76,30 @@
         remove_destination(collect)
 
 
+@given('one engine that is late with its first events and keeps its runs')
+def step_keeps_runs(context: Context) -> None:
+    async def prepare(world: World) -> None:
+        world.runners[LATE].first_event_seconds = LATE_SECONDS
+        world.runners[LATE].keeps_runs = True
+
+    context.prepare.append(prepare)
+
+
 @when(
     '"{target}" requests are made until {count:d} are hedged, as one endpoint'
     ' is late'
 )
+def step_until_late(context: Context, target: str, count: int) -> None:
+    async def prepare(world: World) -> None:
+        slow_down(world, [LATE], target, LATE_SECONDS)
+
+    context.prepare.append(prepare)
+    step_until(context, target, count)
+
+
+@when('"{target}" requests are made until {count:d} are hedged')
 def step_until(context: Context, target: str, count: int) -> None:
     async def scenario(world: World) -> None:
-        slow_down(world, [LATE], target, LATE_SECONDS)
         context.answers = []
         # One after the other: on a busy machine, requests that overlap make all
         # endpoints slow, and then nothing is hedged.
@@ -127,6 +144,14 @@
     run(context, scenario)
 
 
+@then('the late engine has made no event of the hedged runs')
+def step_no_events(context: Context) -> None:
+    worked = context.world.runners[LATE].worked_at
+    assert context.hedged
+    made = [each for each in context.hedged if each in worked]
+    assert not made, (made, context.hedged)
+
+
 @then('the hedged requests were answered and their first runs cancelled')
 def step_hedged(context: Context) -> None:
     late = context.world.runners[LATE]
--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -15,6 +15,10 @@
     json_response,
 )
 
+#: The connection is reset, or nothing more is sent on it.
+RESET = 'reset'
+SILENCE = 'silence'
+LOSSES = (RESET, SILENCE)
 SIGNATURE = (b'x-turmericyard-response-seal', b'seal')
 COPY_SECONDS = 0.05
 
@@ -26,6 +30,8 @@
     attempt: str
     made: int
     length: int
+    #: The stream has ended and the run goes on.
+    is_detached: bool = False
 
 
 @dataclass
@@ -39,6 +45,10 @@
     address: str = ''
     head_seconds: float = 0
     event_seconds: float = 0.02
+    #: Additional time before the first event of a run.
+    first_event_seconds: float = 0
+    #: Its runs go on when their connection is closed.
+    keeps_runs: bool = False
     length: int = 20
     fault: str = ''
     faults_left: int = 1_000_000
@@ -62,6 +72,14 @@
     moved_to: dict[str, str] = field(default_factory=dict)
     ended: bool = False
     no_room: bool = False
+    #: How the answer of its next run is lost, which goes on. One of `LOSSES`.
+    loses_answers: str = ''
+    #: When it made the last event of each run, in seconds since the boot.
+    worked_at: dict[str, float] = field(default_factory=dict)
+    #: How many of the next requests to move a run get no answer.
+    moves_lost: int = 0
+    #: How many of the next requests to move a run come during another move.
+    moves_refused: int = 0
     #: Reports that it gave.
     reports: int = 0
     #: All its answers say that it leaves.
@@ -149,7 +167,7 @@
             raise ConnectionAbortedError
         if request.path.startswith('/stream'):
             await curio.sleep(self.head_seconds)
-            return self.stream(headers, attempt, echo, fault)
+            return await self.begin_stream(headers, attempt, echo, fault)
         self.running += 1
         try:
             return await self.call(request, attempt, echo, fault)
@@ -251,11 +269,22 @@
             200, (echo, SIGNATURE, kind), chunks=self.events(run, fault)
         )
 
+    async def begin_stream(
+        self, headers: dict[str, str], attempt: str, echo: Any, fault: str
+    ) -> OpaqueResponse:
+        """Answer with a stream; with the fault `headless`, only its run begins."""
+        answer = self.stream(headers, attempt, echo, fault)
+        if fault == 'headless' and attempt in self.runs:
+            await self.detach(self.runs[attempt])
+            raise ConnectionAbortedError
+        return answer
+
     def kept_at(self, address: str, handle: str) -> Made | None:
         return self.peers[address].copies.get(handle)
 
     async def events(self, run: Made, fault: str) -> AsyncIterator[bytes]:
         try:
+            await self.wait_before(run)
             crashes_at = run.made + 1 if run.made else self.crash_after_events
             while run.made < run.length:
                 await curio.sleep(self.event_seconds)
@@ -268,7 +297,10 @@
                     raise ConnectionAbortedError
                 if self.runs.get(run.attempt) is not run:
                     raise ConnectionAbortedError
+                if self.loses_answers:
+                    await self.lose_answer(run)
                 run.made += 1
+                self.worked_at[run.attempt] = boot_seconds()
                 yield b'id: %d\ndata: %s-%d\n\n' % (
                     run.made,
                     run.attempt.encode(),
@@ -276,11 +308,42 @@
                 )
         except curio.CancelledError:
             self.cancelled.append(run.attempt)
+            if self.keeps_runs:
+                await self.detach(run)
             raise
         finally:
-            if self.runs.get(run.attempt) is run:
+            if self.runs.get(run.attempt) is run and not run.is_detached:
                 self.runs.pop(run.attempt)
 
+    async def wait_before(self, run: Made) -> None:
+        """Wait before the first event of a run."""
+        if not run.made:
+            await curio.sleep(self.first_event_seconds)
+
+    async def lose_answer(self, run: Made) -> None:
+        """Lose the rest of a stream; its run goes on."""
+        loss, self.loses_answers = self.loses_answers, ''
+        await self.detach(run)
+        if loss == SILENCE:
+            await curio.sleep(1000)
+        raise ConnectionAbortedError
+
+    async def detach(self, run: Made) -> None:
+        """Go on with a run without its stream."""
+        run.is_detached = True
+        await curio.spawn(self.work_on, run, daemon=True)
+
+    async def work_on(self, run: Made) -> None:
+        """Make the remaining events of a run, unless it is stopped."""
+        await self.wait_before(run)
+        while run.made < run.length:
+            await curio.sleep(self.event_seconds)
+            if self.ended or self.runs.get(run.attempt) is not run:
+                return
+            run.made += 1
+            self.worked_at[run.attempt] = boot_seconds()
+        self.runs.pop(run.attempt)
+
     def drop(self, handle: str) -> Any:
         """Free a copy, at both ends where this is its source."""
         target = self.moved_to.pop(handle, self.address)
@@ -288,18 +351,27 @@
         return json_response(200 if held else 404, {})
 
     async def move(self, body: dict[str, Any]) -> Any:
+        if self.moves_lost:
+            self.moves_lost -= 1
+            raise ConnectionAbortedError
         run = self.runs.get(body['id'])
         if run is None:
             return json_response(404, {})
+        if self.moves_refused:
+            self.moves_refused -= 1
+            return json_response(409, {})
+        handle = f'h-{body["id"]}'
+        if body['last']:
+            self.runs.pop(body['id'])
         target = self.peers[body['to']]
         if target.no_room or target.ended:
-            return json_response(503, {})
+            if not body['last']:
+                return json_response(503, {})
+            self.copies[handle] = Made(run.attempt, run.made, run.length)
+            return json_response(503, {'handle': handle})
         await curio.sleep(COPY_SECONDS)
-        handle = f'h-{body["id"]}'
         self.moved_to[handle] = body['to']
         target.copies[handle] = Made(run.attempt, run.made, run.length)
-        if body['last']:
-            self.runs.pop(body['id'])
         return json_response(
             200, {'handle': handle, 'createRevision': run.made}
         )
--- a/features/support/fleet/scenario.py
+++ b/features/support/fleet/scenario.py
@@ -55,12 +55,12 @@
 }
 
 
-async def stream(world: World, length: int) -> Any:
-    """Start a stream and return its task and the runner that has it."""
+async def stream(world: World, length: int, **asking: Any) -> Any:
+    """Start a stream and return its task; `asking` goes to `World.ask`."""
     for runner in world.runners.values():
         runner.length = length
     asking = await curio.spawn(
-        partial(world.ask, 'n-0', '/stream/a', 'at-1', **PROMPT)
+        partial(world.ask, 'n-0', '/stream/a', 'at-1', **PROMPT, **asking)
     )
     await world.until(lambda: bool(running(world)))
     await curio.sleep(0.3)
--- a/packages/turmericyard-http/src/turmericyard_http/client.py
+++ b/packages/turmericyard-http/src/turmericyard_http/client.py
@@ -160,7 +160,8 @@
         except curio.TaskTimeout:
             return NotSent(self.address, 'connect timeout')
         except OSError as error:
-            return NotSent(self.address, describe_error(error))
+            refused = isinstance(error, ConnectionRefusedError)
+            return NotSent(self.address, describe_error(error), refused)
 
     def is_usable(self, connection: ClientConnection) -> bool:
         """Return whether an idle connection is recent and still open."""
--- a/packages/turmericyard-http/src/turmericyard_http/errors.py
+++ b/packages/turmericyard-http/src/turmericyard_http/errors.py
@@ -4,10 +4,14 @@
 
 
 class NotSent(Struct, frozen=True):
-    """No byte of the request reached the peer: it has not run."""
+    """No byte of the request reached the peer: it has not run.
+
+    With `refused` nothing listens at the address.
+    """
 
     address: str
     detail: str
+    refused: bool = False
 
     @property
     def message(self) -> str:
--- a/packages/turmericyard-node/src/turmericyard_node/events.py
+++ b/packages/turmericyard-node/src/turmericyard_node/events.py
@@ -58,6 +58,8 @@
     RUN_COPIED = (415, 'run:copied')
     RUN_NOT_COPIED = (416, 'run:not-copied')
     COPY_NOT_FREED = (417, 'copy:not-freed')
+    RUN_STOPPED = (418, 'run:stopped')
+    RUN_NOT_STOPPED = (419, 'run:not-stopped')
     REQUEST_HEDGED = (421, 'request:hedged')
     HEDGE_ENDED = (422, 'hedge:ended')
     REQUEST_NOT_HEDGED = (423, 'request:not-hedged')
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/copies.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/copies.py
@@ -10,9 +10,12 @@
 
 from turmericyard_http.tasks import BackgroundTasks
 from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.endpoint_registry import Endpoint
+from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.paths import EndpointPaths
 from turmericyard_node.forwarding.runs import Run, RunCopy
 from turmericyard_ports.border import PlatformAdapter
+from turmericyard_ports.endpoint import CopiedRun
 
 
 @dataclass(slots=True)
@@ -29,18 +32,24 @@
             await self.tasks.spawn(self.free, run, copy)
 
     async def free(self, run: Run, copy: RunCopy) -> None:
+        """Free a copy of a run."""
+        await self.free_copied(run.job, copy.copied, copy.holder)
+
+    async def free_copied(
+        self, job: Job, copied: CopiedRun, holder: Endpoint
+    ) -> None:
         """Free a copy through its source, or at its holder if that fails."""
         failure = ''
-        for address in (copy.copied.source, copy.holder.record.address):
+        for address in (copied.source, holder.record.address):
             freed = await self.platform_adapter.free_copy(
-                self.paths.connect, address, copy.copied.handle
+                self.paths.connect, address, copied.handle
             )
             if isinstance(freed, Success):
                 return
             failure = freed.failure()
         log_event(
             Event.COPY_NOT_FREED,
-            attempt=run.job.attempt,
-            holder=copy.holder.identity,
+            attempt=job.attempt,
+            holder=holder.identity,
             message=failure,
         )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/forwarder_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/forwarder_assembly.py
@@ -12,6 +12,7 @@
 from turmericyard_node.forwarding.options import NodeOptions
 from turmericyard_node.forwarding.request_handler import RequestHandler
 from turmericyard_node.forwarding.rollout.rollouts import Rollouts
+from turmericyard_node.forwarding.run_stops.run_stopper import RunStopper
 from turmericyard_node.forwarding.runs import RunRegistry
 from turmericyard_node.forwarding.sending import Sender
 from turmericyard_node.forwarding.stream_failover import StreamFailover
@@ -51,8 +52,17 @@
         )
     run_registry = RunRegistry(loads)
     cleaner = CopyCleaner(platform_adapter, tasks, fleet.paths)
+    stopper = RunStopper(
+        platform_adapter,
+        fleet.platform_state,
+        fleet.paths,
+        cleaner,
+        tasks,
+        instruments,
+        boot_seconds,
+    )
     stream_failover = StreamFailover(
-        sender, room.placement, loads, boot_seconds, cleaner
+        sender, room.placement, loads, boot_seconds, cleaner, stopper
     )
     streams = StreamForwarder(
         platform_adapter,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/hedging/stream_contest.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/hedging/stream_contest.py
@@ -41,9 +41,13 @@
     async def attempt(self, endpoint: Endpoint) -> Outcome:
         """Begin the stream at an endpoint and wait for its first bytes."""
         self.begun += 1
-        run = await self.streams.run_at(
-            self.job, endpoint, with_backup=self.begun == 1
-        )
+        try:
+            run = await self.streams.run_at(
+                self.job, endpoint, with_backup=self.begun == 1
+            )
+        except curio.CancelledError:
+            await self.streams.stream_failover.stopper.begin(self.job, endpoint)
+            raise
         if isinstance(run, Run):
             return await read_first_event(self.streams, run)
         return run
@@ -92,3 +96,4 @@
     """End a run whose stream is not passed on."""
     streams.run_registry.end(run)
     await run.response.close()
+    await streams.stream_failover.stopper.begin(run.job, run.current_endpoint)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/instruments.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/instruments.py
@@ -21,6 +21,7 @@
 FIRST_SECONDS = 'turmericyard.forwarding.first_event'
 GAP_SECONDS = 'turmericyard.forwarding.longest_gap'
 COPIES = 'turmericyard.forwarding.copies'
+STOPS = 'turmericyard.forwarding.stops'
 HEDGES = 'turmericyard.forwarding.hedges'
 HEDGES_REFUSED = 'turmericyard.forwarding.hedges_refused'
 DROPPED = 'turmericyard.forwarding.dropped_measurements'
@@ -142,6 +143,10 @@
         outcome = 'done' if done else 'failed'
         self.measure(COPIES, 1, service=service, outcome=outcome)
 
+    def record_stop(self, service: str, outcome: str) -> None:
+        """Count a run that an endpoint was told to stop, by its reply."""
+        self.measure(STOPS, 1, service=service, outcome=outcome)
+
     async def render(self) -> bytes:
         """Return all metrics; the first call loads the exporter."""
         async with self.load_lock:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
@@ -36,6 +36,9 @@
     part_marks: tuple[bytes, ...] = ()
     #: Identities of endpoints to which this request is not sent again.
     excluded_endpoints: set[str] = field(default_factory=set)
+    #: Identities of endpoints that may still work on it, though it went on at
+    #: another one.
+    unstopped_endpoints: set[str] = field(default_factory=set)
     #: How often it was sent, also to endpoints that did not run it.
     send_count: int = 0
     #: How many endpoints may have begun to run it anew.
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
@@ -114,8 +114,8 @@
     ) -> Endpoint | None:
         """Return the endpoint for a copy or backup of a run at `source`.
 
-        Endpoints whose identities are in `excluded_endpoints` are left out.
-        None when no endpoint has room.
+        Endpoints whose identities are in `excluded_endpoints`, and those that
+        may still be told to stop the run, are left out. None when no endpoint has room.
         """
         request = CopyPlaceRequest(
             job.service.name,
@@ -125,6 +125,7 @@
             (
                 source.identity,
                 *excluded_endpoints,
+                *job.unstopped_endpoints,
                 *self.endpoint_selector.backing_off(job),
                 *self.other_versions(job, source),
             ),
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
@@ -1,10 +1,11 @@
 """Continues streams at another endpoint.
 
 A run continues from a copy or a backup. A resumable stream without either runs
-anew after the last event that was passed on.
+anew after the last event that was passed on. Its endpoint may still work on a
+run whose stream is lost, and is told to stop first.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import curio
 
@@ -17,8 +18,9 @@
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.load_tracker import LoadTracker, RequestLoad
 from turmericyard_node.forwarding.placement import HubPlacement
+from turmericyard_node.forwarding.run_stops.run_stopper import RunStopper
 from turmericyard_node.forwarding.runs import Run
-from turmericyard_node.forwarding.sending import NotRun, Sender
+from turmericyard_node.forwarding.sending import MayHaveRun, NotRun, Sender
 from turmericyard_ports.request import Continuation
 
 #: Expected output from which a run has a backup, in tokens.
@@ -40,6 +42,7 @@
     loads: LoadTracker
     clock: Clock
     cleaner: CopyCleaner
+    stopper: RunStopper
 
     async def continue_elsewhere(self, run: Run, detail: str) -> bool:
         """Continue a run at another endpoint; return whether that worked."""
@@ -51,6 +54,7 @@
             run.job, established=run.was_established
         ):
             return False
+        await self.stop_here(run)
         for endpoint, copied in self.continuations(run):
             if not self.placement.endpoint_selector.platform_state.may_continue_run(
                 endpoint
@@ -71,6 +75,20 @@
         log_event(Event.STREAM_FAILED, attempt=run.job.attempt, message=detail)
         return False
 
+    async def stop_here(self, run: Run) -> None:
+        """Stop a run at its endpoint if it can go on at another one."""
+        copy = run.copy
+        holder = copy.holder if copy else run.backup
+        if holder is None and not run.job.route.may_repeat:
+            return
+        run_stop = await self.stopper.stop(
+            run.job, run.current_endpoint, holder, keeps_copy=copy is not None
+        )
+        if run_stop is None or run_stop.copied is None:
+            return
+        if copy is not None and run_stop.holder is copy.holder:
+            run.copy = replace(copy, copied=run_stop.copied)
+
     def continuations(self, run: Run) -> list[tuple[Endpoint, Continuation]]:
         """Return the endpoints that can continue the run, the best first."""
         found = []
@@ -108,6 +126,8 @@
         response = await self.sender.send(
             run.job, endpoint, seconds, backup=backup, copied=copied
         )
+        if isinstance(response, MayHaveRun):
+            await self.stopper.stop(run.job, endpoint)
         if not isinstance(response, EndpointResponse):
             return False
         if not response.succeeded:
@@ -138,6 +158,8 @@
             )
             response = await self.sender.send(job, endpoint, seconds)
             job.run_count += not isinstance(response, NotRun)
+            if isinstance(response, MayHaveRun):
+                await self.stopper.stop(job, endpoint)
             if not isinstance(response, EndpointResponse):
                 continue
             if response.succeeded:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -180,6 +180,8 @@
         if isinstance(outcome, NotRun):
             return outcome
         if isinstance(outcome, MayHaveRun):
+            if job.may_run_again():
+                await self.stream_failover.stopper.stop(job, endpoint)
             return self.platform_adapter.refusal(BAD_GATEWAY, outcome.detail)
         head = outcome.head
         seconds = min(SILENCE_SECONDS, job.seconds_left(self.clock()))
--- a/packages/turmericyard-ports/src/turmericyard_ports/border.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/border.py
@@ -160,4 +160,8 @@
         *,
         last: bool,
     ) -> Result[CopiedRun, CopyError]:
-        """Copy a run to another endpoint; with `last`, stop it before."""
+        """Copy a run to another endpoint; with `last`, stop it before.
+
+        `address` and `destination` are the `ip:port` of endpoints. The result
+        comes when the copy is complete.
+        """
--- a/packages/turmericyard-ports/src/turmericyard_ports/endpoint.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/endpoint.py
@@ -51,12 +51,17 @@
     UNDER_WAY = 'a copy of the run is being made'
     NO_ROOM = 'no room at the destination, or it is out of reach'
     NO_ANSWER = 'the endpoint gave no answer'
+    REFUSED = 'nothing listens at the address of the endpoint'
 
 
 class CopyError(Struct, frozen=True):
-    """Error of a copy that was not made."""
+    """Error of a copy that was not made.
+
+    `kept` is the memory that the endpoint keeps of a run that it has stopped.
+    """
 
     failure: CopyFailure
+    kept: CopiedRun | None = None
 
     @property
     def message(self) -> str:
