Repeat the cancel of a generation on a new connection

The cancel went out once, on a pooled connection; where that one is silent, the engine works on beside the other one until the generation counts as abandoned there.

Change: a cancel uses a new connection and is repeated once without a reply.

Measured: the new scenario of engine_client.feature fails on the code before (OutcomeUnknown, timeout, after 2.3 s) and passes, with the 16 others.

--- a/features/clients/engine_client.feature
+++ b/features/clients/engine_client.feature
@@ -22,6 +22,11 @@
     When an engine client reads 20 tokens of 30000 and cancels it twice
     Then the engine ledger soon shows the reason "cancelled"
 
+  # A generation that goes on elsewhere must not run here beside it.
+  Scenario: A cancel reaches an engine whose open connections fell silent
+    When the engine silences its connections and its generation is cancelled
+    Then the engine ledger soon shows the reason "cancelled"
+
   Scenario: A start on a refused connection is reported as not started
     Given the engine stand-in has stopped
     Then an engine start fails as not started with kind "unreachable"
--- a/features/steps/clients_engine_faults_steps.py
+++ b/features/steps/clients_engine_faults_steps.py
@@ -5,7 +5,7 @@
 import curio
 from behave import then, when
 from behave.runner import Context
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from support.engine_caller import Caller, load, start_many
 from turmericyard_bench.deployment import wait_until
@@ -44,6 +44,18 @@
     context.engine.control(silence=True)
 
 
+@when('the engine silences its connections and its generation is cancelled')
+def step_cancel_silent(context: Context) -> None:
+    caller = context.caller
+    caller.run(caller.open, 30000)
+    caller.run(caller.read, 20)
+    # The client keeps the connection of this call.
+    assert isinstance(caller.run(caller.client.load), Success)
+    context.engine.control(silence=True)
+    cancelled = caller.run(caller.client.cancel_generation, 'g')
+    assert isinstance(cancelled, Success), cancelled
+
+
 @when('the engine turns cold and gets {count:d} generations after the onset')
 def step_cold_overload(context: Context, count: int) -> None:
     context.restart = load(context).restart
--- a/packages/turmericyard-clients/src/turmericyard_clients/engine.py
+++ b/packages/turmericyard-clients/src/turmericyard_clients/engine.py
@@ -38,6 +38,8 @@
 
 #: Time limit of calls that the engine answers at once.
 CALL_TIMEOUT_SECONDS = 2.0
+#: How often a cancel without a reply is repeated.
+CANCEL_REPEATS = 1
 #: Time limit for the head of a stream.
 HEAD_TIMEOUT_SECONDS = 2.0
 #: Time limit for the body of an error response.
@@ -136,8 +138,17 @@
     async def cancel_generation(
         self, generation: str
     ) -> Result[None, EngineError]:
-        """Cancel a generation; succeeds also when the engine does not know it."""
-        result = await self.call('DELETE', generation_path(generation))
+        """Cancel a generation; succeeds also when the engine does not know it.
+
+        A cancel without a reply may not have reached the engine, which works
+        on then: it is repeated, each time on a new connection.
+        """
+        target = generation_path(generation)
+        result = await self.call('DELETE', target, fresh=True)
+        for _ in range(CANCEL_REPEATS):
+            if isinstance(result, Success):
+                break
+            result = await self.call('DELETE', target, fresh=True)
         if isinstance(result, Failure):
             return self.engine_failure(result)
         status = result.unwrap().status
@@ -181,14 +192,23 @@
         await self.http.close()
 
     async def call(
-        self, method: str, target: str, body: bytes = b''
+        self,
+        method: str,
+        target: str,
+        body: bytes = b'',
+        *,
+        fresh: bool = False,
     ) -> Result[Response, HttpError]:
-        """Send a request and return its complete response."""
+        """Send a request and return its complete response.
+
+        `fresh` opens a new connection.
+        """
         return await self.http.request(
             method,
             target,
             body=body,
             timeout_seconds=CALL_TIMEOUT_SECONDS,
+            fresh=fresh,
         )
 
     def engine_failure(
