--- a/features/forwarding/silent_connections.feature
+++ b/features/forwarding/silent_connections.feature
@@ -22,3 +22,19 @@
     When the open connections between the nodes fall silent while endpoints change
     Then no hub is excluded
     And from 3 seconds later on no node needs the full state
+
+  # Guards against nodes that learn of a change late although they are in touch
+  # again: a link that fell silent long before is still used for the change.
+  Scenario Outline: Changes reach all nodes some time after their links fell silent
+    Given a world with 3 plain endpoints and <nodes> nodes
+    When a share of <share> of the open connections between the nodes falls silent
+    And <seconds> seconds later a version is written and an endpoint leaves
+    Then both are known at all nodes within 2 seconds
+
+    Examples:
+      | nodes | share | seconds |
+      | 4     | 0.7   | 4.5     |
+      | 4     | 1.0   | 3.0     |
+      | 7     | 0.7   | 4.5     |
+      | 7     | 0.4   | 3.0     |
+      | 7     | 1.0   | 6.0     |
--- a/features/steps/forwarding_silent_connections_steps.py
+++ b/features/steps/forwarding_silent_connections_steps.py
@@ -1,6 +1,7 @@
 """Steps for connections that fall silent while the configuration changes."""
 
 from itertools import count
+from random import Random
 
 import curio
 from behave import given, then, when
@@ -9,7 +10,13 @@
 from steps.forwarding_knowledge_steps import logged
 from support.fleet.cuts import SilentSocket
 from support.fleet.scenario import run
-from support.fleet.world import Answer, World, read_answer, request_lines
+from support.fleet.world import (
+    Answer,
+    World,
+    manifest,
+    read_answer,
+    request_lines,
+)
 from support.fleet_soak.fleet_checks import APPLY_SECONDS, IN_TOUCH_SECONDS
 from support.fleet_soak.load import FAILURES
 from support.fleet_soak.nodes import NodeProcess
@@ -18,6 +25,7 @@
 from turmericyard_http.clock import boot_seconds
 from turmericyard_http.connection import connect
 from turmericyard_node.events import Event
+from turmericyard_node.forwarding.application import ForwardingApplication
 from turmericyard_node.peers.mesh import open_channels
 
 #: How long versions are written, and the nodes are watched, in seconds.
@@ -27,6 +35,11 @@
 ANSWER_SECONDS = 1.0
 #: Prefix of the names of the links that fall silent.
 LINKS = {'everywhere': '', 'between the nodes': 'peer', 'to the store': 'store'}
+SEED = 9
+#: Version of the configuration that is written after the silence, and how long
+#: the nodes may take to know it.
+VERSION = 5
+LATEST_SECONDS = 6.0
 numbers = count()
 
 
@@ -123,9 +136,7 @@
     async def scenario(world: World) -> None:
         changing = await curio.spawn(change_endpoint, world, daemon=True)
         await curio.sleep(1)
-        for node in world.nodes.values():
-            for channel in open_channels(node.fleet.mesh):
-                channel.sock = SilentSocket(channel.sock)
+        silence_links(world, 1)
         await curio.sleep(IN_TOUCH_SECONDS)
         replies = full_replies(world)
         await curio.sleep(IN_TOUCH_SECONDS)
@@ -137,6 +148,15 @@
         run(context, scenario)
 
 
+def silence_links(world: World, share: float) -> None:
+    """Make a share of the open connections between the nodes silent."""
+    random = Random(SEED)
+    for node in world.nodes.values():
+        for channel in open_channels(node.fleet.mesh):
+            if random.random() < share:
+                channel.sock = SilentSocket(channel.sock)
+
+
 async def change_endpoint(world: World) -> None:
     """Change the record of an endpoint five times a second."""
     for number in count():
@@ -158,3 +178,49 @@
 @then('from 3 seconds later on no node needs the full state')
 def step_no_full_state(context: Context) -> None:
     assert context.full_replies == 0, context.full_replies
+
+
+@when(
+    'a share of {share:g} of the open connections between the nodes falls'
+    ' silent'
+)
+def step_share_silent(context: Context, share: float) -> None:
+    async def prepare(world: World) -> None:
+        await curio.sleep(1)
+        silence_links(world, share)
+
+    context.prepare.append(prepare)
+
+
+@when('{seconds:g} seconds later a version is written and an endpoint leaves')
+def step_changes(context: Context, seconds: float) -> None:
+    async def scenario(world: World) -> None:
+        await curio.sleep(seconds)
+        world.store.put('op/config', manifest(VERSION))
+        world.register('i-0', 'plain', 'draining')
+        written = boot_seconds()
+        context.took = {}
+        while len(context.took) < len(world.nodes):
+            for name, node in world.nodes.items():
+                if name not in context.took and knows_changes(node):
+                    context.took[name] = boot_seconds() - written
+            if boot_seconds() - written > LATEST_SECONDS:
+                break
+            await curio.sleep(POLL_SECONDS)
+        context.missing = set(world.nodes).difference(context.took)
+
+    run(context, scenario)
+
+
+def knows_changes(node: ForwardingApplication) -> bool:
+    state = node.platform_state
+    table = state.route_table
+    leaving = state.registry.endpoints['i-0'].leaving_since is not None
+    return leaving and table.configuration.version == VERSION
+
+
+@then('both are known at all nodes within {seconds:d} seconds')
+def step_known(context: Context, seconds: int) -> None:
+    assert not context.missing, context.missing
+    late = {name: took for name, took in context.took.items() if took > seconds}
+    assert not late, late
