Check limits of endpoints while links between nodes fall silent

The rule on Server-Limit excuses machines that restart, freeze or are cut, and not those whose links fall silent: then two hubs might each use a whole limit.

--- a/features/forwarding/limits.feature
+++ b/features/forwarding/limits.feature
@@ -24,6 +24,18 @@
     When the first hub ends while 1 of them names a limit of 2 requests a second and 40 requests a second reach the other nodes
     Then it gets at most its limit with the tolerance in any 4 seconds
 
+  # Guards against two hubs that each use a whole limit, while no node is excused.
+  Scenario Outline: Nodes keep to a limit when the links between them fall silent
+    Given a world with 3 plain endpoints and <nodes> nodes
+    When a share of <share> of the links falls silent twice while 1 of them names a limit of <limit> requests a second and <rate> requests a second reach all nodes
+    Then it gets at most its limit with the tolerance in any 4 seconds
+
+    Examples:
+      | nodes | share | limit | rate |
+      | 4     | 1.0   | 2     | 40   |
+      | 4     | 0.7   | 8     | 60   |
+      | 7     | 0.5   | 8     | 60   |
+
   Scenario: A limit ends at all nodes when an endpoint names none
     Given a world with 2 plain endpoints and 3 nodes
     When all of them stop naming a limit of 1 request a second
--- a/features/steps/forwarding_limits_steps.py
+++ b/features/steps/forwarding_limits_steps.py
@@ -11,6 +11,7 @@
 from hypothesis import seed, settings
 from hypothesis import strategies as drawn
 
+from support.fleet.cuts import silence_links
 from support.fleet.runner import FleetRunner
 from support.fleet.scenario import run
 from support.fleet.world import World
@@ -105,6 +106,26 @@
     run(context, scenario)
 
 
+@when(
+    'a share of {share:g} of the links falls silent twice while {count:d} of'
+    ' them names a limit of {limit:g} requests a second and {rate:g} requests a'
+    ' second reach all nodes'
+)
+def step_links_silent(
+    context: Context, share: float, count: int, limit: float, rate: float
+) -> None:
+    async def scenario(world: World) -> None:
+        limit_runners(context, world, count, limit)
+        nodes = list(world.nodes)
+        load = await curio.spawn(ask_at_rate, context, world, nodes, rate, 9.0)
+        for _ in range(2):
+            await curio.sleep(3)
+            silence_links(world, share)
+        await load.join()
+
+    run(context, scenario)
+
+
 @then('it gets at most its limit with the tolerance in any 4 seconds')
 @then('they get at most their limits with the tolerance in any 4 seconds')
 def step_within(context: Context) -> None:
--- a/features/steps/forwarding_silent_connections_steps.py
+++ b/features/steps/forwarding_silent_connections_steps.py
@@ -1,14 +1,13 @@
 """Steps for connections that fall silent while the configuration changes."""
 
 from itertools import count
-from random import Random
 
 import curio
 from behave import given, then, when
 from behave.runner import Context
 
 from steps.forwarding_knowledge_steps import logged
-from support.fleet.cuts import SilentSocket
+from support.fleet.cuts import silence_links
 from support.fleet.scenario import run
 from support.fleet.world import (
     Answer,
@@ -26,7 +25,6 @@
 from turmericyard_http.connection import connect
 from turmericyard_node.events import Event
 from turmericyard_node.forwarding.application import ForwardingApplication
-from turmericyard_node.peers.mesh import open_channels
 
 #: How long versions are written, and the nodes are watched, in seconds.
 WRITING_SECONDS = 4.0
@@ -35,7 +33,6 @@
 ANSWER_SECONDS = 1.0
 #: Prefix of the names of the links that fall silent.
 LINKS = {'everywhere': '', 'between the nodes': 'peer', 'to the store': 'store'}
-SEED = 9
 #: Version of the configuration that is written after the silence, and how long
 #: the nodes may take to know it.
 VERSION = 5
@@ -148,15 +145,6 @@
         run(context, scenario)
 
 
-def silence_links(world: World, share: float) -> None:
-    """Make a share of the open connections between the nodes silent."""
-    random = Random(SEED)
-    for node in world.nodes.values():
-        for channel in open_channels(node.fleet.mesh):
-            if random.random() < share:
-                channel.sock = SilentSocket(channel.sock)
-
-
 async def change_endpoint(world: World) -> None:
     """Change the record of an endpoint five times a second."""
     for number in count():
--- a/features/support/fleet/cuts.py
+++ b/features/support/fleet/cuts.py
@@ -1,12 +1,15 @@
 """Partitions between single nodes and all runners."""
 
 from dataclasses import dataclass, field
+from random import Random
 from typing import Any
 
 import curio
 
+from support.fleet.world import World
 from turmericyard_http.connection import ClientConnection, Connect
 from turmericyard_node.forwarding.application import ForwardingApplication
+from turmericyard_node.peers.mesh import open_channels
 
 #: Forms of a cut: everything hangs, open connections are reset and new ones
 #: hang, or open ones live on while new ones are refused.
@@ -14,6 +17,8 @@
 RESET = 'reset'
 REFUSE = 'refuse'
 POLL_SECONDS = 0.005
+#: Seed of the connections that fall silent.
+SEED = 9
 
 
 @dataclass
@@ -113,6 +118,15 @@
         return self.sock.fileno()
 
 
+def silence_links(world: World, share: float) -> None:
+    """Make a share of the open connections between the nodes silent."""
+    random = Random(SEED)
+    for node in world.nodes.values():
+        for channel in open_channels(node.fleet.mesh):
+            if random.random() < share:
+                channel.sock = SilentSocket(channel.sock)
+
+
 def watch_links(node: ForwardingApplication) -> NodeLinks:
     """Put a node's connections to runners under the control of a test."""
     fleet = node.fleet
