Postmortem of a run at two endpoints; late heads of hedged runs

The class of the fault with a line for each way on which the work goes on elsewhere. The hedged run that is cancelled before its head gets an example of its own; a stream that ends before a scenario has begun shows its answer.

--- a/features/forwarding/hedging.feature
+++ b/features/forwarding/hedging.feature
@@ -60,14 +60,19 @@
     And no run is left at the node
 
   # The end of its connection does not stop a run at each endpoint.
-  Scenario: The first run of a hedged stream goes on after its connection is closed
+  Scenario Outline: The first run of a hedged stream goes on after its connection is closed
     Given engines with resumable streams
     And a share of 0.2 may be hedged, and 100 "/stream/" requests were answered
-    And one engine that is late with its first events and keeps its runs
+    And one engine that is late with <what> and keeps its runs
     When "/stream/" requests are made until 2 are hedged
     Then the late engine has made no event of the hedged runs
     And each stream was complete and each of its events came once
 
+    Examples:
+      | what             |
+      | its first events |
+      | its heads        |
+
   # A client that leaves ends both runs.
   Scenario: The client of a hedged call closes its connection
     Given a world with 4 plain endpoints and 1 node
--- a/features/steps/forwarding_hedging_steps.py
+++ b/features/steps/forwarding_hedging_steps.py
@@ -76,11 +76,14 @@
         remove_destination(collect)
 
 
-@given('one engine that is late with its first events and keeps its runs')
-def step_keeps_runs(context: Context) -> None:
+@given('one engine that is late with {what} and keeps its runs')
+def step_keeps_runs(context: Context, what: str) -> None:
     async def prepare(world: World) -> None:
-        world.runners[LATE].first_event_seconds = LATE_SECONDS
-        world.runners[LATE].keeps_runs = True
+        late = world.runners[LATE]
+        late.keeps_runs = True
+        late.first_event_seconds = LATE_SECONDS
+        if what == 'its heads':
+            late.head_seconds = LATE_SECONDS
 
     context.prepare.append(prepare)
 
--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -166,7 +166,6 @@
             self.ran.append(attempt)
             raise ConnectionAbortedError
         if request.path.startswith('/stream'):
-            await curio.sleep(self.head_seconds)
             return await self.begin_stream(headers, attempt, echo, fault)
         self.running += 1
         try:
@@ -273,12 +272,24 @@
         self, headers: dict[str, str], attempt: str, echo: Any, fault: str
     ) -> OpaqueResponse:
         """Answer with a stream; with the fault `headless`, only its run begins."""
+        if not self.keeps_runs:
+            await curio.sleep(self.head_seconds)
         answer = self.stream(headers, attempt, echo, fault)
-        if fault == 'headless' and attempt in self.runs:
+        if fault == 'headless':
             await self.detach(self.runs[attempt])
             raise ConnectionAbortedError
+        if self.keeps_runs:
+            await self.wait_before_head(attempt)
         return answer
 
+    async def wait_before_head(self, attempt: str) -> None:
+        """Work on a run whose head is late, also when its connection closes."""
+        try:
+            await curio.sleep(self.head_seconds)
+        except curio.CancelledError:
+            await self.detach(self.runs[attempt])
+            raise
+
     def kept_at(self, address: str, handle: str) -> Made | None:
         return self.peers[address].copies.get(handle)
 
--- a/features/support/fleet/scenario.py
+++ b/features/support/fleet/scenario.py
@@ -62,7 +62,8 @@
     asking = await curio.spawn(
         partial(world.ask, 'n-0', '/stream/a', 'at-1', **PROMPT, **asking)
     )
-    await world.until(lambda: bool(running(world)))
+    await world.until(lambda: bool(running(world)) or asking.terminated)
+    assert not asking.terminated, await asking.join()
     await curio.sleep(0.3)
     return asking
 
