Cut a node off in the scenario of stops only when it knows a peer

Traced by the log: the node is cut off 0.1 s after its start, before it has heard from a peer; its three sends fail within 0.2 ms and the client gets 503 with a time to retry, before what the scenario tests. The scenario now waits for a peer through which endpoints are reached; what it asks of the run is unchanged.

--- a/features/steps/forwarding_run_stops_steps.py
+++ b/features/steps/forwarding_run_stops_steps.py
@@ -28,7 +28,10 @@
 @given('a node that reaches engines through the other one only')
 def step_cut_off(context: Context) -> None:
     async def prepare(world: World) -> None:
-        await watch_links(world.nodes['n-0']).cut(REFUSE)
+        node = world.nodes['n-0']
+        # A node that has just started knows no peer that reaches endpoints.
+        await world.until(lambda: bool(node.fleet.paths.relays()))
+        await watch_links(node).cut(REFUSE)
 
     context.prepare.append(prepare)
 
