Split the wait for a stop from its request

Read as a newcomer: `stop` and `begin` had the same signature, and waiting for the reply is a matter of the stop, not of the stopper. Found on the way: where the endpoint with the copy of a run may not hold copies any more, the copy that was made elsewhere for the stop was not freed.

--- a/packages/turmericyard-clients/src/turmericyard_clients/engine.py
+++ b/packages/turmericyard-clients/src/turmericyard_clients/engine.py
@@ -140,8 +140,8 @@
     ) -> Result[None, EngineError]:
         """Cancel a generation; succeeds also when the engine does not know it.
 
-        A cancel without a reply may not have reached the engine, which works
-        on then: it is repeated, each time on a new connection.
+        A cancel without a reply may not have reached the engine: it is
+        repeated, each time on a new connection.
         """
         target = generation_path(generation)
         result = await self.call('DELETE', target, fresh=True)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/placement.py
@@ -115,7 +115,7 @@
         """Return the endpoint for a copy or backup of a run at `source`.
 
         Endpoints whose identities are in `excluded_endpoints`, and those that
-        may still be told to stop the run, are left out. None when no endpoint has room.
+        may still work on the run, are left out. None when no endpoint has room.
         """
         request = CopyPlaceRequest(
             job.service.name,
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stop.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stop.py
@@ -9,6 +9,12 @@
 from turmericyard_node.forwarding.job import Job
 from turmericyard_ports.endpoint import CopiedRun, CopyError, CopyFailure
 
+#: Time for which a run waits for the reply before it goes on elsewhere, in
+#: seconds: some round trips between zones. A reply that comes later is that of
+#: an endpoint which has stopped and copies the run, or of none.
+REPLY_SECONDS = 0.05
+#: The same while the endpoint works on the run until another copy is made.
+COPY_SECONDS = 2.0
 #: Labels under which stops are counted and logged.
 STOPPED = 'stopped'
 NOT_RUNNING = 'not running'
@@ -19,7 +25,7 @@
 
 @dataclass(slots=True, eq=False)
 class RunStop:
-    """A run that an endpoint is told to stop.
+    """A run that an endpoint is asked to stop.
 
     An endpoint stops a run for the last copy of its memory, to `holder`.
     """
@@ -30,7 +36,7 @@
     #: Whether the run may go on from the copy, which is then not freed.
     keeps_copy: bool
     began_at: float
-    #: How often the endpoint was told.
+    #: How often the endpoint was asked to stop the run.
     tries: int = 0
     #: Whether the last reply was that the run goes on until a copy is made.
     is_being_copied: bool = False
@@ -38,9 +44,17 @@
     #: The memory of the run at `holder`, or what the endpoint itself keeps.
     copied: CopiedRun | None = None
     kept: CopiedRun | None = None
-    #: Set when the endpoint has stopped, or is not told any more.
+    #: Set when the endpoint has stopped, or is not asked any more.
     ended: curio.Event = field(default_factory=curio.Event)
 
+    async def wait(self) -> None:
+        """Wait until the run may go on at another endpoint."""
+        async with curio.ignore_after(REPLY_SECONDS):
+            await self.ended.wait()
+        if self.is_being_copied:
+            async with curio.ignore_after(COPY_SECONDS):
+                await self.ended.wait()
+
     def record_reply(self, reply: Result[CopiedRun, CopyError]) -> bool:
         """Record a reply; return whether the endpoint does not run it now."""
         self.tries += 1
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stopper.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stopper.py
@@ -1,4 +1,4 @@
-"""Tells endpoints to stop runs, until each has replied."""
+"""Asks endpoints to stop runs, until each has replied."""
 
 from dataclasses import dataclass
 
@@ -16,15 +16,9 @@
 from turmericyard_node.forwarding.run_stops.run_stop import NO_REPLY, RunStop
 from turmericyard_ports.border import PlatformAdapter
 
-#: Time for which a run waits for the reply before it goes on elsewhere, in
-#: seconds: some round trips between zones. A reply that comes later is that of
-#: an endpoint which has stopped and copies the run, or of none.
-REPLY_SECONDS = 0.05
-#: The same while the endpoint works on the run until another copy is made.
-COPY_SECONDS = 2.0
-#: Time for which an endpoint without a reply is told again, in seconds.
+#: Time for which an endpoint without a reply is asked again, in seconds.
 REPEAT_SECONDS = 10.0
-#: Pause before an endpoint is told again, in seconds; doubled each time.
+#: Pause before an endpoint is asked again, in seconds; doubled each time.
 FIRST_PAUSE_SECONDS = 0.05
 MAX_PAUSE_SECONDS = 1.0
 
@@ -41,29 +35,14 @@
     instruments: Instruments
     clock: Clock
 
-    async def stop(
-        self,
-        job: Job,
-        endpoint: Endpoint,
-        holder: Endpoint | None = None,
-        *,
-        keeps_copy: bool = False,
-    ) -> RunStop | None:
-        """Stop a run and wait until it may go on at another endpoint.
+    async def stop(self, job: Job, endpoint: Endpoint) -> None:
+        """Stop what an endpoint may run of a request whose answer is lost.
 
-        `holder` is where the run may go on; with `keeps_copy` it does so from
-        the copy that is made for the stop. None if the run cannot be stopped.
+        Returns when the request may run at another endpoint.
         """
-        run_stop = await self.begin(
-            job, endpoint, holder, keeps_copy=keeps_copy
-        )
+        run_stop = await self.begin(job, endpoint)
         if run_stop is not None:
-            async with curio.ignore_after(REPLY_SECONDS):
-                await run_stop.ended.wait()
-            if run_stop.is_being_copied:
-                async with curio.ignore_after(COPY_SECONDS):
-                    await run_stop.ended.wait()
-        return run_stop
+            await run_stop.wait()
 
     async def begin(
         self,
@@ -73,12 +52,17 @@
         *,
         keeps_copy: bool = False,
     ) -> RunStop | None:
-        """Begin to stop a run; None if the endpoint cannot be told."""
+        """Begin to stop a run; None if its endpoint cannot be asked.
+
+        `holder` is where the run is to go on; with `keeps_copy` it does so
+        from the copy that is made for the stop.
+        """
         engine = job.service.engine
         if engine is None or not engine.can_copy_runs:
             return None
         if holder is None or not self.platform_state.may_hold_copy(holder):
             holder = self.find_holder(endpoint)
+            keeps_copy = False
         if holder is None:
             return None
         run_stop = RunStop(job, endpoint, holder, keeps_copy, self.clock())
@@ -99,26 +83,28 @@
         )
 
     async def repeat_until_stopped(self, run_stop: RunStop) -> None:
-        """Tell an endpoint to stop a run until it replies, then free the copy.
+        """Ask an endpoint to stop a run until it replies, then free the copy.
 
         The endpoint stops by itself at the deadline of the request.
         """
         job = run_stop.job
         ends_at = min(job.deadline_at, run_stop.began_at + REPEAT_SECONDS)
         pause = FIRST_PAUSE_SECONDS
-        while not await self.tell(run_stop) and self.clock() + pause < ends_at:
+        while not await self.request(run_stop):
+            if self.clock() + pause >= ends_at:
+                break
             await curio.sleep(pause)
             pause = min(2 * pause, MAX_PAUSE_SECONDS)
         if run_stop.outcome != NO_REPLY:
             job.unstopped_endpoints.discard(run_stop.endpoint.identity)
         await run_stop.ended.set()
-        self.record(run_stop)
+        self.record_end(run_stop)
         unused = run_stop.unused_memory()
         if unused is not None:
             await self.cleaner.free_copied(job, unused, run_stop.holder)
 
-    async def tell(self, run_stop: RunStop) -> bool:
-        """Tell an endpoint once; return whether it does not run it now."""
+    async def request(self, run_stop: RunStop) -> bool:
+        """Ask an endpoint once; return whether it does not run it now."""
         reply = await self.platform_adapter.copy_run(
             self.paths.connect,
             run_stop.endpoint.record.address,
@@ -128,7 +114,7 @@
         )
         return run_stop.record_reply(reply)
 
-    def record(self, run_stop: RunStop) -> None:
+    def record_end(self, run_stop: RunStop) -> None:
         """Count and log how an endpoint was stopped."""
         stopped = run_stop.outcome != NO_REPLY
         self.instruments.record_stop(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
@@ -54,7 +54,7 @@
             run.job, established=run.was_established
         ):
             return False
-        await self.stop_here(run)
+        await self.stop_run(run)
         for endpoint, copied in self.continuations(run):
             if not self.placement.endpoint_selector.platform_state.may_continue_run(
                 endpoint
@@ -75,18 +75,19 @@
         log_event(Event.STREAM_FAILED, attempt=run.job.attempt, message=detail)
         return False
 
-    async def stop_here(self, run: Run) -> None:
+    async def stop_run(self, run: Run) -> None:
         """Stop a run at its endpoint if it can go on at another one."""
         copy = run.copy
         holder = copy.holder if copy else run.backup
         if holder is None and not run.job.route.may_repeat:
             return
-        run_stop = await self.stopper.stop(
+        run_stop = await self.stopper.begin(
             run.job, run.current_endpoint, holder, keeps_copy=copy is not None
         )
-        if run_stop is None or run_stop.copied is None:
+        if run_stop is None:
             return
-        if copy is not None and run_stop.holder is copy.holder:
+        await run_stop.wait()
+        if copy is not None and run_stop.keeps_copy and run_stop.copied:
             run.copy = replace(copy, copied=run_stop.copied)
 
     def continuations(self, run: Run) -> list[tuple[Endpoint, Continuation]]:
