--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stopper.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stopper.py
@@ -71,9 +71,9 @@
         return run_stop
 
     def find_holder(self, endpoint: Endpoint) -> Endpoint | None:
-        """Return another endpoint for the memory of a run, the nearest first.
+        """Return an endpoint for the memory of a run, in its zone if possible.
 
-        None when there is no other.
+        None when no other endpoint is usable.
         """
         usable = self.platform_state.usable_endpoints(endpoint.record.service)
         return min(
