Let a reset reach the reader when a write was told of it first

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being sent. The client got the part as a complete answer, with the seal. The same for the body of a failure, for idempotent calls, for streams, and for connections through a peer.

Cause: the system reports the failure of a connection once, to the read or write that comes first. While a body of over 16 KB is sent, a task of its own writes it and ignores OSError, since "the reading side fails in the same way". It does not: a read after that returns what has arrived, and then an ordinary end, which ends a body without a length. TunnelServer ignores the error of its write too, and told its peer of an orderly end.

Evidence: two plain sockets, sender held up, peer resets: a write raises ConnectionResetError, the next one BrokenPipeError, then reads return b'answer' and b''. With an orderly end before the reset the first write raises BrokenPipeError.

Change: connections of clients have a ClientSocket, which keeps the first failure that a read or write was told of and raises it where a read would return the end. A broken pipe is none: the peer's bytes are complete then.

--- a/features/forwarding/broken_answers.feature
+++ b/features/forwarding/broken_answers.feature
@@ -50,3 +50,50 @@
       | what                                   |
       | a stream that ends inside an event     |
       | a stream that ends before a blank line |
+
+  # Guards against a reset that only the task that sends the request is told of.
+  Scenario Outline: An endpoint that <ending> during an upload: <kind>, <way>, <what>
+    Given a world whose <endpoint>, reached <way>, sends <what> and <ending>
+    When a client makes a <kind> request with a body of 4 MB
+    Then the client got nothing that looks like the endpoint's complete answer
+    And the endpoint was asked 1 times
+
+    Examples:
+      | kind       | endpoint       | what                                    | way            | ending       |
+      | once-only  | plain endpoint | a body that ends with the connection    | directly       | resets       |
+      | once-only  | plain endpoint | a body that ends with the connection    | directly       | resets later |
+      | once-only  | plain endpoint | a body that ends with the connection    | through a peer | resets       |
+      | once-only  | plain endpoint | a body that ends with the connection    | through a peer | resets later |
+      | once-only  | plain endpoint | a failure that ends with the connection | directly       | resets       |
+      | repeatable | plain endpoint | a body that ends with the connection    | directly       | resets       |
+      | generation | engine         | a stream that ends with the connection  | directly       | resets       |
+      | generation | engine         | a stream that ends with the connection  | directly       | resets later |
+      | generation | engine         | a stream that ends with the connection  | through a peer | resets       |
+
+  Scenario Outline: An answer that is reset during an upload is repeated: <kind>, <way>
+    Given a world whose <endpoint>, reached <way>, sends <what> and resets
+    And a second endpoint that is found after the request was sent
+    When a client makes a <kind> request with a body of 4 MB
+    Then the client got the second endpoint's complete answer
+
+    Examples:
+      | kind                 | endpoint       | what                                   | way            |
+      | repeatable           | plain endpoint | a body that ends with the connection   | directly       |
+      | repeatable           | plain endpoint | a body that ends with the connection   | through a peer |
+      | resumable generation | engine         | a stream that ends with the connection | directly       |
+
+  # Guards against whole answers that are lost with the rest of an upload.
+  Scenario Outline: A whole answer during an upload, after which its endpoint <ending>: <what>, <way>
+    Given a world whose plain endpoint, reached <way>, sends <what> and <ending>
+    When a client makes a once-only request with a body of 4 MB
+    Then the client got the endpoint's complete answer, with status <status>
+
+    Examples:
+      | what                                 | way            | ending            | status |
+      | a refusal with a length              | directly       | resets            | 413    |
+      | a refusal with a length              | through a peer | resets            | 413    |
+      | a body with a length                 | directly       | resets            | 200    |
+      | a body with a length                 | through a peer | resets            | 200    |
+      | a body in chunks                     | directly       | resets            | 200    |
+      | a body that ends with the connection | directly       | ends, then resets | 200    |
+      | a body that ends with the connection | through a peer | ends, then resets | 200    |
--- a/features/forwarding/tunnels.feature
+++ b/features/forwarding/tunnels.feature
@@ -10,6 +10,12 @@
     When the bytes are read through the tunnel
     Then the connection was reset
 
+  # Guards against a reset that only the task that sends to the endpoint sees.
+  Scenario: A reset during an upload goes through a tunnel whose reader is late
+    Given a tunnel to an endpoint that sends for 0.5 seconds and resets
+    When 20000000 bytes are sent, and the tunnel is read a second later
+    Then the connection was reset
+
   Scenario: The loss of the peer does not look like the end of the answer
     Given a tunnel to an endpoint that sends 5000 bytes and waits
     When the peer ends while the bytes are read through the tunnel
--- a/features/steps/forwarding_broken_answers_steps.py
+++ b/features/steps/forwarding_broken_answers_steps.py
@@ -1,14 +1,16 @@
 """Steps for endpoints whose answers are cut short or meant for others."""
 
+from functools import partial
+
 import curio
 from behave import given, then, when
 from behave.runner import Context
 
+from support.fleet.cuts import REFUSE, watch_links
+from support.fleet.raw_server import open_narrow_listener
 from support.fleet.scenario import PROMPT, build, run
-from support.fleet.scripted import EVENTS, ScriptedRunner
-from support.fleet.world import World
-from turmericyard_bench.launch import LOOPBACK, free_port
-from turmericyard_http.server import open_listener
+from support.fleet.scripted import EVENTS, WHOLE, ScriptedRunner
+from support.fleet.world import World, manifest
 
 #: Endpoint that works beside the faulty one, where there is one.
 WORKING = 'i-1'
@@ -16,6 +18,15 @@
 #: Requests after which each of two endpoints has got one.
 MAX_REQUESTS = 60
 PROMISES = {408, 421, 429, 503}
+#: Length of a request of which an endpoint takes only the beginning at once, in
+#: bytes.
+LONG_BODY = 4_000_000
+TARGETS = {
+    'once-only': '/write/a',
+    'repeatable': '/read/a',
+    'generation': '/stream/a',
+    'resumable generation': '/stream/a',
+}
 
 
 @given('a world whose plain endpoint answers with {what}')
@@ -28,29 +39,124 @@
     prepare_scripted(context, 'engines', what)
 
 
-def prepare_scripted(context: Context, service: str, what: str) -> None:
+def prepare_scripted(
+    context: Context,
+    service: str,
+    what: str,
+    *,
+    ending: str = 'closes',
+    nodes: int = 1,
+) -> None:
     async def with_scripted(world: World) -> None:
-        await build(service, 1, 1, world)
-        listener = open_listener(LOOPBACK, free_port())
-        address = f'{LOOPBACK}:{listener.getsockname()[1]}'
-        context.scripted = ScriptedRunner(what)
+        await build(service, 1, nodes, world)
+        listener, address = open_narrow_listener()
+        context.scripted = ScriptedRunner(what, ending)
+        await context.scripted.answering.set()
         serving = await curio.spawn(context.scripted.serve, listener)
         world.tasks.append(serving)
         world.runners['i-0'].address = address
         world.register('i-0', service)
-        endpoints = world.nodes['n-0'].platform_state.registry.endpoints
-        await world.until(lambda: endpoints['i-0'].record.address == address)
+        for node in world.nodes.values():
+            endpoints = node.platform_state.registry.endpoints
+            await world.until(
+                lambda known=endpoints: known['i-0'].record.address == address
+            )
 
-    async def add_working(world: World) -> None:
-        if 'working' not in context:
-            return
-        await world.add_runner(WORKING, service)
-        endpoints = world.nodes['n-0'].platform_state.registry.endpoints
-        await world.until(lambda: WORKING in endpoints)
+    async def prepare_working(world: World) -> None:
+        if 'working' in context:
+            await add_working(world, service)
 
     context.target = '/stream/a' if service == 'engines' else '/write/a'
     context.build = with_scripted
-    context.prepare = [add_working]
+    context.service = service
+    context.prepare = [prepare_working]
+
+
+async def add_working(world: World, service: str) -> None:
+    await world.add_runner(WORKING, service)
+    endpoints = world.nodes['n-0'].platform_state.registry.endpoints
+    await world.until(lambda: WORKING in endpoints)
+
+
+@given('a world whose {endpoint}, reached {way}, sends {what} and {ending}')
+def step_ending(
+    context: Context, endpoint: str, way: str, what: str, ending: str
+) -> None:
+    service = 'plain' if endpoint == 'plain endpoint' else 'engines'
+    nodes = 2 if way == 'through a peer' else 1
+    prepare_scripted(context, service, what, ending=ending, nodes=nodes)
+    if way == 'through a peer':
+        context.prepare.append(cut_first_node)
+
+
+async def cut_first_node(world: World) -> None:
+    """Cut the first node off from all endpoints."""
+    await watch_links(world.nodes['n-0']).cut(REFUSE)
+
+
+@given('a second endpoint that is found after the request was sent')
+def step_found_later(context: Context) -> None:
+    context.has_second = True
+
+
+@when('a client makes a {kind} request with a body of 4 MB')
+def step_upload(context: Context, kind: str) -> None:
+    async def resume(world: World) -> None:
+        world.store.put('op/config', manifest(2, resumable=True))
+        state = world.nodes['n-0'].platform_state
+        await world.until(lambda: state.route_table.configuration.version == 2)
+
+    async def scenario(world: World) -> None:
+        scripted = context.scripted
+        scripted.answering.clear()
+        asking = await curio.spawn(
+            partial(
+                world.ask,
+                'n-0',
+                TARGETS[kind],
+                'at-0',
+                body=bytes(LONG_BODY),
+                **PROMPT,
+            )
+        )
+        await world.until(lambda: scripted.asked or asking.terminated)
+        if 'has_second' in context:
+            await add_working(world, context.service)
+        await scripted.answering.set()
+        context.answers = [await asking.join()]
+
+    if kind == 'resumable generation':
+        context.prepare.append(resume)
+    run(context, scenario)
+
+
+@then("the client got nothing that looks like the endpoint's complete answer")
+def step_not_complete(context: Context) -> None:
+    answer = context.answers[-1]
+    assert answer.status != OK or not answer.whole, answer
+    assert answer.body != WHOLE, answer
+    assert answer.status not in PROMISES, answer
+
+
+@then('the endpoint was asked {count:d} times')
+def step_asked(context: Context, count: int) -> None:
+    assert context.scripted.asked == count, context.answers
+
+
+@then("the client got the second endpoint's complete answer")
+def step_second(context: Context) -> None:
+    answer = context.answers[-1]
+    assert (answer.status, answer.whole) == (OK, True), answer
+    assert context.world.runners[WORKING].ran, answer
+    assert answer.body != WHOLE, answer
+
+
+@then("the client got the endpoint's complete answer, with status {status:d}")
+def step_status(context: Context, status: int) -> None:
+    answer = context.answers[-1]
+    assert (answer.status, answer.body) == (status, WHOLE), answer
+    assert answer.whole, answer
+    assert answer.headers['x-turmericyard-response-seal'] == 's', answer
 
 
 @when('a client makes a once-only request')
--- a/features/steps/forwarding_tunnels_steps.py
+++ b/features/steps/forwarding_tunnels_steps.py
@@ -10,6 +10,7 @@
 from behave.runner import Context
 from returns.result import Success
 
+from support.fleet.raw_server import open_narrow_listener
 from turmericyard_bench.launch import LOOPBACK, free_port
 from turmericyard_http.connection import RECEIVE_BYTES
 from turmericyard_http.server import open_listener
@@ -24,6 +25,8 @@
 
 SECRET = b'the secret'
 PIECE_BYTES = 10_000
+#: More bytes than a test lasts for.
+UNBOUNDED = 1_000_000_000_000
 
 
 @dataclass
@@ -36,6 +39,8 @@
     #: Random bytes cannot be compressed on their way.
     random: Random = field(default_factory=lambda: Random(1))
     is_closed: bool = False
+    #: How long it sends at most.
+    send_seconds: float = 10
 
     async def serve(self, listener: Any) -> None:
         while True:
@@ -43,12 +48,8 @@
             await curio.spawn(self.answer, sock, daemon=True)
 
     async def answer(self, sock: Any) -> None:
-        while self.sent < self.size:
-            piece = self.random.randbytes(
-                min(PIECE_BYTES, self.size - self.sent)
-            )
-            await sock.sendall(piece)
-            self.sent += len(piece)
+        async with curio.ignore_after(self.send_seconds):
+            await self.send(sock)
         if self.ending == 'waits':
             await self.wait_for_end(sock)
         if self.ending == 'resets':
@@ -56,6 +57,14 @@
             sock.setsockopt(1, 13, LINGER_ZERO)
         await sock.close()
 
+    async def send(self, sock: Any) -> None:
+        while self.sent < self.size:
+            piece = self.random.randbytes(
+                min(PIECE_BYTES, self.size - self.sent)
+            )
+            await sock.sendall(piece)
+            self.sent += len(piece)
+
     async def wait_for_end(self, sock: Any) -> None:
         """Read nothing until the peer closes its end."""
         while not self.is_closed:
@@ -96,8 +105,7 @@
 
 
 async def create_tunnel(endpoint: RawEndpoint) -> Tunnel:
-    listener = open_listener(LOOPBACK, free_port())
-    address = f'{LOOPBACK}:{listener.getsockname()[1]}'
+    listener, address = open_narrow_listener()
     server = TunnelServer(lambda asked: asked == address)
     peer = PeerMesh(Identity('peer', 'p', SECRET), ignore)
     peer.serve_tunnel = server.serve
@@ -135,6 +143,11 @@
         context.ending = 'reset'
 
 
+@given('a tunnel to an endpoint that sends for {seconds:g} seconds and resets')
+def step_tunnel_held_up(context: Context, seconds: float) -> None:
+    context.endpoint = RawEndpoint(UNBOUNDED, 'resets', send_seconds=seconds)
+
+
 @given('a tunnel to an endpoint that sends {size:d} bytes and {ending}')
 def step_tunnel(context: Context, size: int, ending: str) -> None:
     context.endpoint = RawEndpoint(size, ending)
@@ -162,6 +175,19 @@
     play(context, scenario)
 
 
+@when('{size:d} bytes are sent, and the tunnel is read a second later')
+def step_read_late(context: Context, size: int) -> None:
+    async def scenario(tunnel: Tunnel) -> None:
+        connection = (await tunnel.open()).unwrap()
+        sending = await curio.spawn(connection.sock.sendall, bytes(size))
+        await curio.sleep(1)
+        await read_all(context, connection.sock)
+        await sending.cancel()
+        await connection.close()
+
+    play(context, scenario)
+
+
 @then('all {size:d} bytes came and the end was orderly')
 def step_whole(context: Context, size: int) -> None:
     assert (context.count, context.ending) == (size, 'orderly')
--- a/features/support/fleet/scripted.py
+++ b/features/support/fleet/scripted.py
@@ -1,18 +1,22 @@
-"""Endpoints that answer each request with the same bytes and close."""
+"""Endpoints that answer each request with the same bytes and end it."""
 
 import re
 from contextlib import suppress
 from dataclasses import dataclass, field
+from socket import SHUT_WR, SO_LINGER, SOL_SOCKET
 from typing import Any
 
 import curio
 
 from support.fleet.raw_server import serve_raw
+from turmericyard_http.exchange import RESET
 from turmericyard_http.server import open_listener
 
 ATTEMPT = re.compile(rb'x-turmericyard-attempt-id: (\S+)', re.IGNORECASE)
 SEAL = b'x-turmericyard-response-seal: s\r\n'
-HEAD = b'HTTP/1.1 200 OK\r\nx-turmericyard-attempt-id: %s\r\n' + SEAL
+ECHO = b'x-turmericyard-attempt-id: %s\r\n'
+HEAD = b'HTTP/1.1 200 OK\r\n' + ECHO + SEAL
+FAILURE = b'HTTP/1.1 500 Failed\r\n' + ECHO
 STREAM = HEAD + b'content-type: text/event-stream\r\n\r\n'
 EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
 EARLIER = (
@@ -20,6 +24,12 @@
     b'x-turmericyard-not-executed: 1\r\n'
     b'content-length: 0\r\n\r\n'
 )
+WHOLE = b'whole'
+LENGTH = b'content-length: 5\r\n\r\n'
+CHUNKED = b'transfer-encoding: chunked\r\n\r\n'
+REFUSAL = b'HTTP/1.1 413 Too Large\r\n' + ECHO + SEAL
+#: Time between an answer and the later reset of its connection, in seconds.
+RESET_SECONDS = 0.1
 #: What is sent; `%s` stands for the attempt.
 ANSWERS = {
     'a part of a status line': b'HTTP/1.1 20',
@@ -29,19 +39,40 @@
     'a head without its last byte': HEAD + b'content-length: 0\r\n\r',
     'a refusal of an earlier request': b'HTTP/1.1 503 Busy\r\n' + EARLIER,
     'a misdirection of an earlier request': b'HTTP/1.1 421 No\r\n' + EARLIER,
-    'a body that ends with the connection': HEAD + b'\r\nwhole',
+    'a body that ends with the connection': HEAD + b'\r\n' + WHOLE,
+    'a body with a length': HEAD + LENGTH + WHOLE,
+    'a body in chunks': HEAD + CHUNKED + b'5\r\nwhole\r\n0\r\n\r\n',
+    'a failure that ends with the connection': FAILURE + b'\r\n' + WHOLE,
+    'a refusal with a length': REFUSAL + LENGTH + WHOLE,
     'a stream that ends with the connection': STREAM + EVENTS,
     'a stream that ends inside an event': STREAM + EVENTS + b'id: 3\ndata',
     'a stream that ends before a blank line': STREAM + EVENTS + b'id: 3\n',
 }
 
 
+async def end_connection(sock: Any, ending: str) -> None:
+    """End a connection as `ending` says, with input that was not read."""
+    if ending == 'ends, then resets':
+        await sock.shutdown(SHUT_WR)
+    if ending == 'resets later':
+        await curio.sleep(RESET_SECONDS)
+    if ending != 'closes':
+        sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET)
+
+
 @dataclass
 class ScriptedRunner:
-    """Answers each request with the bytes of one kind; counts requests."""
+    """Answers each request with the bytes of one kind; counts requests.
+
+    It reads no more than the beginning of a long request, and answers nothing
+    else, such as requests for reports.
+    """
 
     kind: str
+    ending: str = 'closes'
     asked: int = 0
+    #: Set while it answers the requests that it has got.
+    answering: Any = field(default_factory=curio.Event)
 
     async def serve(self, listener: object) -> None:
         await serve_raw(listener, self.answer)
@@ -49,10 +80,13 @@
     async def answer(self, sock: object) -> None:
         async with sock:
             with suppress(OSError):
-                head = await sock.recv(65_536)
+                found = ATTEMPT.search(await sock.recv(65_536))
+                if found is None:
+                    return
                 self.asked += 1
-                attempt = ATTEMPT.search(head)[1]
-                await sock.sendall(ANSWERS[self.kind].replace(b'%s', attempt))
+                await self.answering.wait()
+                await sock.sendall(ANSWERS[self.kind].replace(b'%s', found[1]))
+                await end_connection(sock, self.ending)
 
 
 @dataclass
--- a/packages/turmericyard-http/src/turmericyard_http/connection.py
+++ b/packages/turmericyard-http/src/turmericyard_http/connection.py
@@ -10,6 +10,7 @@
 import curio
 import h11
 
+from turmericyard_http.client_socket import ClientSocket
 from turmericyard_http.messages import Headers, Response
 from turmericyard_http.response_bodies import PROCESS_BODIES, ResponseTooLong
 
@@ -76,10 +77,9 @@
             await sending.cancel()
 
     async def send_ignoring_errors(self, payload: bytes) -> None:
-        """Send bytes; ignore a failure of the connection.
+        """Send bytes; leave a failure of the connection to the reading side.
 
-        The reading side fails in the same way, after it has read a response
-        that the peer may have sent before the failure.
+        It fails in the same way, after it has read what the peer sent before.
         """
         with suppress(OSError):
             await self.sock.sendall(payload)
@@ -241,4 +241,4 @@
     except BaseException:
         await sock.close()
         raise
-    return ClientConnection(sock, address)
+    return ClientConnection(ClientSocket(sock), address)
