Do not read bytes after a response as the next response

What callers saw: nothing that was reported; found while the heads of responses were looked at. A server that sends two responses to one request gave its second one to the next request on the same connection.

Cause: `ClientConnection.recycle` starts the next cycle of h11 while bytes that arrived with the response are still in its buffer. `is_usable` looks at the socket only, where nothing waits any more. Clients that reuse connections are concerned: reports of endpoints, the store, the VM list and calls of the project's own interface without a key; requests that are forwarded have a connection of their own each.

Change: a connection with bytes after its response is closed.

--- a/features/http/exchange.feature
+++ b/features/http/exchange.feature
@@ -38,3 +38,7 @@
     When the HTTP client posts "one" whose send is forbidden once connected
     Then the first HTTP exchange failed with "NotSent"
     And the HTTP server got no request
+
+  Scenario: Bytes after a response are not read as the next response
+    When the HTTP client asks a server twice that sends two responses at a time
+    Then both HTTP responses are the first ones, on 2 connections
--- a/features/steps/http_exchange_steps.py
+++ b/features/steps/http_exchange_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from support.fleet.raw_server import serve_raw
 from turmericyard_http.answer_writer import Limits
 from turmericyard_http.client import HttpClient, create_client
 from turmericyard_http.messages import (
@@ -30,6 +31,8 @@
     ),
 }
 HOST = '127.0.0.1'
+FIRST = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst'
+SECOND = b'HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond'
 
 
 class EchoServer:
@@ -238,3 +241,32 @@
 @then('the HTTP server got no request')
 def step_no_request(context: Context) -> None:
     assert context.echo.requests == 0
+
+
+@when('the HTTP client asks a server twice that sends two responses at a time')
+def step_two_at_a_time(context: Context) -> None:
+    async def answer(sock: Any) -> None:
+        context.connections += 1
+        async with sock:
+            while await sock.recv(4096):
+                await sock.sendall(FIRST + SECOND)
+
+    async def scenario() -> list[Any]:
+        listener = open_listener(HOST, 0)
+        server = await curio.spawn(serve_raw, listener, answer)
+        client = create_client(f'{HOST}:{listener_port(listener)}')
+        try:
+            return [await client.request('GET', '/') for _ in range(2)]
+        finally:
+            await client.close()
+            await server.cancel()
+
+    context.connections = 0
+    context.results = curio.run(scenario)
+
+
+@then('both HTTP responses are the first ones, on {count:d} connections')
+def step_first_ones(context: Context, count: int) -> None:
+    bodies = [each.unwrap().body for each in context.results]
+    assert bodies == [b'first'] * 2, bodies
+    assert context.connections == count, context.connections
--- a/packages/turmericyard-http/src/turmericyard_http/connection.py
+++ b/packages/turmericyard-http/src/turmericyard_http/connection.py
@@ -167,7 +167,14 @@
             self.protocol.receive_data(received)
 
     def recycle(self) -> bool:
-        """Prepare for the next exchange; False when not reusable."""
+        """Prepare for the next exchange; False when not reusable.
+
+        Bytes after the response belong to no request; the next exchange would
+        read them as its response.
+        """
+        unrequested, _ = self.protocol.trailing_data
+        if unrequested:
+            return False
         try:
             self.protocol.start_next_cycle()
         except h11.LocalProtocolError:
