Refuse response heads whose lines can be read in two ways

What callers saw (on other systems of this kind): an endpoint in trouble sent an answer in whose head the name of a field held a blank or a control byte, and the client got it as an answer, with that line passed on or with a body that was not the endpoint's. Here it was so where the byte stands before the name.

Cause: h11 joins a line that begins with a blank or a tab to the line before it, so that the line is passed on inside another field, and a length that is joined no longer bounds the body. It takes a line feed without a carriage return for the end of a line, so that a line feed before a name ends the head: the fields after it become the body.

Change: `ResponseHeads` keeps the bytes of a head until h11 has read it and refuses a line that begins with a blank, and a line that ends with a line feed only where others end with CRLF. Heads whose lines all end with a line feed are accepted as before (RFC 9112, 2.2). One place covers all readers of answers, since all use ClientConnection.

A once-only request gets 502.

--- a/features/forwarding/broken_answers.feature
+++ b/features/forwarding/broken_answers.feature
@@ -16,6 +16,26 @@
       | engine         | a part of a head             |
       | engine         | a head without its last byte |
 
+  # Guards against lines that are passed on or change where the body begins.
+  Scenario Outline: An answer whose head is no HTTP is none
+    Given a world whose <endpoint> answers with <what>
+    When a client makes a once-only request
+    Then the client is told that the request may have run
+
+    Examples:
+      | endpoint       | what                                           |
+      | plain endpoint | a status of 000                                |
+      | engine         | a status of 000                                |
+      | plain endpoint | a blank inside the name of a field             |
+      | engine         | a blank inside the name of a field             |
+      | plain endpoint | a blank before the name of a field             |
+      | engine         | a blank before the name of a field             |
+      | plain endpoint | a blank before the name of the length          |
+      | plain endpoint | a control byte inside the name of a field      |
+      | engine         | a control byte inside the name of a field      |
+      | plain endpoint | a line feed before the name of a field         |
+      | engine         | a line feed before the name of a field         |
+
   # Guards against a refusal of another request that is taken for this one's.
   Scenario Outline: A refusal that names another request does not count
     Given a world whose <endpoint> answers with <what>
--- a/features/steps/forwarding_broken_answers_steps.py
+++ b/features/steps/forwarding_broken_answers_steps.py
@@ -15,6 +15,7 @@
 #: Endpoint that works beside the faulty one, where there is one.
 WORKING = 'i-1'
 OK = 200
+BAD_GATEWAY = 502
 #: Requests after which each of two endpoints has got one.
 MAX_REQUESTS = 60
 PROMISES = {408, 421, 429, 503}
@@ -186,6 +187,12 @@
     assert not answer.body or answer.status != 200, answer
 
 
+@then('the client is told that the request may have run')
+def step_may_have_run(context: Context) -> None:
+    [answer] = context.answers
+    assert answer.status == BAD_GATEWAY, answer
+
+
 @then('no answer states that the request has not run')
 def step_no_promise(context: Context) -> None:
     for answer in context.answers:
--- a/features/support/fleet/scripted.py
+++ b/features/support/fleet/scripted.py
@@ -39,6 +39,18 @@
     'a head without its last byte': HEAD + b'content-length: 0\r\n\r',
     'a refusal of an earlier request': b'HTTP/1.1 503 Busy\r\n' + EARLIER,
     'a misdirection of an earlier request': b'HTTP/1.1 421 No\r\n' + EARLIER,
+    'a status of 000': HEAD.replace(b'200', b'000') + LENGTH + WHOLE,
+    'a blank inside the name of a field': HEAD + b'x y: 1\r\n' + LENGTH + WHOLE,
+    'a blank before the name of a field': HEAD + b' x: 1\r\n' + LENGTH + WHOLE,
+    'a blank before the name of the length': HEAD + b' ' + LENGTH + WHOLE,
+    'a control byte inside the name of a field': HEAD
+    + b'x\x01y: 1\r\n'
+    + LENGTH
+    + WHOLE,
+    'a line feed before the name of a field': HEAD
+    + b'\nx: 1\r\n'
+    + LENGTH
+    + WHOLE,
     'a body that ends with the connection': HEAD + b'\r\n' + WHOLE,
     'a body with a length': HEAD + LENGTH + WHOLE,
     'a body in chunks': HEAD + CHUNKED + b'5\r\nwhole\r\n0\r\n\r\n',
--- a/packages/turmericyard-http/src/turmericyard_http/connection.py
+++ b/packages/turmericyard-http/src/turmericyard_http/connection.py
@@ -13,12 +13,14 @@
 from turmericyard_http.client_socket import ClientSocket
 from turmericyard_http.messages import Headers, Response
 from turmericyard_http.response_bodies import PROCESS_BODIES, ResponseTooLong
+from turmericyard_http.response_heads import ResponseHeads
 
 RECEIVE_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
 #: Requests up to this length, in bytes, are sent before the response is read:
 #: the empty send buffer of a socket holds them.
 MAX_BUFFERED_REQUEST_BYTES = 16_384
+RESPONSE_HEADS = (h11.InformationalResponse, h11.Response)
 #: Interim responses (status 1xx) accepted before the final response.
 MAX_INTERIM_RESPONSES = 16
 #: Validated heads of recent requests that are cached for reuse.
@@ -34,6 +36,7 @@
         #: When it became idle last, None during its first exchange.
         self.idle_since: float | None = None
         self.bodies = PROCESS_BODIES
+        self.heads = ResponseHeads()
         self.protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
         )
@@ -156,14 +159,21 @@
         return Response(status, headers, body)
 
     async def next_event(self) -> Any:
-        """Return the next h11 event, reading as needed."""
+        """Return the next h11 event, reading as needed.
+
+        Raises h11.RemoteProtocolError, EOFError and OSError.
+        """
         while True:
             event = self.protocol.next_event()
             if event is not h11.NEED_DATA:
+                if isinstance(event, RESPONSE_HEADS):
+                    self.heads.check(event)
                 return event
             received = await self.sock.recv(RECEIVE_BYTES)
-            if not received and self.protocol.their_state is h11.SEND_RESPONSE:
-                raise EOFError('connection closed before the response')
+            if self.protocol.their_state is h11.SEND_RESPONSE:
+                if not received:
+                    raise EOFError('connection closed before the response')
+                self.heads.add(received)
             self.protocol.receive_data(received)
 
     def recycle(self) -> bool:
