Send bodies that cannot be compressed in the scenarios of uploads

Nodes compress long frames between them, so that a body of zeros took next to no room on the way through a peer and was never held up. Random bytes are sent now, and whole answers of endpoints that stop reading, and bodies in chunks through a peer, have an example each.

--- a/features/forwarding/broken_answers.feature
+++ b/features/forwarding/broken_answers.feature
@@ -117,3 +117,6 @@
       | a body in chunks                     | directly       | resets            | 200    |
       | a body that ends with the connection | directly       | ends, then resets | 200    |
       | a body that ends with the connection | through a peer | ends, then resets | 200    |
+      | a refusal with a length              | directly       | stops reading     | 413    |
+      | a refusal with a length              | through a peer | stops reading     | 413    |
+      | a body in chunks                     | through a peer | resets            | 200    |
--- a/features/steps/forwarding_broken_answers_steps.py
+++ b/features/steps/forwarding_broken_answers_steps.py
@@ -1,6 +1,7 @@
 """Steps for endpoints whose answers are cut short or meant for others."""
 
 from functools import partial
+from random import Random
 
 import curio
 from behave import given, then, when
@@ -116,7 +117,7 @@
                 'n-0',
                 TARGETS[kind],
                 'at-0',
-                body=bytes(LONG_BODY),
+                body=Random(1).randbytes(LONG_BODY),
                 **PROMPT,
             )
         )
--- a/features/support/fleet/scripted.py
+++ b/features/support/fleet/scripted.py
@@ -64,6 +64,8 @@
 
 async def end_connection(sock: Any, ending: str) -> None:
     """End a connection as `ending` says, with input that was not read."""
+    if ending == 'stops reading':
+        await curio.sleep(1000)
     if ending == 'ends, then resets':
         await sock.shutdown(SHUT_WR)
     if ending == 'resets later':
