Read from a peer's channel while a sender on it is held up

What callers would have seen: a request with a long body goes through a peer to an endpoint that answers at once and reads no more. The answer is whole and never comes: the request ends with its time limit (504). Found while the other side of "answers during uploads" was tested; nobody has reported it.

Cause: `Channel.read` flushes the replies of the websocket protocol after each piece that it receives, under the lock that a sender holds while its bytes are not taken. The reader then waits for the writer, and the writer for an endpoint that has answered already. With zeros as the body this does not show, since frames are compressed.

Change: the reader flushes only where no sender holds the lock; what is queued goes out with the next frame. Nothing but pongs is concerned, and no node sends pings.

--- a/features/forwarding/tunnels.feature
+++ b/features/forwarding/tunnels.feature
@@ -36,6 +36,12 @@
     When 300000 bytes are sent while the endpoint reads none
     Then 5000 bytes came
 
+  # Guards against a reader that waits for a writer which is held up.
+  Scenario: An answer comes through while an upload is held up
+    Given a tunnel to an endpoint that sends 5000 bytes after 0.3 seconds and waits
+    When 4000000 bytes are sent while the endpoint reads none
+    Then 5000 bytes came
+
   Scenario Outline: A tunnel that cannot be opened says why: <case>
     Given a peer that <case>
     When a tunnel is requested from it
--- a/features/steps/forwarding_tunnels_steps.py
+++ b/features/steps/forwarding_tunnels_steps.py
@@ -13,7 +13,6 @@
 from support.fleet.raw_server import open_narrow_listener
 from turmericyard_bench.launch import LOOPBACK, free_port
 from turmericyard_http.connection import RECEIVE_BYTES
-from turmericyard_http.server import open_listener
 from turmericyard_node.peers.channel import LINGER_ZERO
 from turmericyard_node.peers.identity import Identity
 from turmericyard_node.peers.mesh import PeerMesh
@@ -39,7 +38,8 @@
     #: Random bytes cannot be compressed on their way.
     random: Random = field(default_factory=lambda: Random(1))
     is_closed: bool = False
-    #: How long it sends at most.
+    #: How long it waits first, and how long it sends at most.
+    wait_seconds: float = 0
     send_seconds: float = 10
 
     async def serve(self, listener: Any) -> None:
@@ -48,6 +48,7 @@
             await curio.spawn(self.answer, sock, daemon=True)
 
     async def answer(self, sock: Any) -> None:
+        await curio.sleep(self.wait_seconds)
         async with curio.ignore_after(self.send_seconds):
             await self.send(sock)
         if self.ending == 'waits':
@@ -111,8 +112,7 @@
     peer.serve_tunnel = server.serve
     client = PeerMesh(Identity('client', 'c', SECRET), ignore)
     made = Tunnel(endpoint, address, server, client, peer)
-    peer_listener = open_listener(LOOPBACK, free_port())
-    client.addresses['peer'] = f'{LOOPBACK}:{peer_listener.getsockname()[1]}'
+    peer_listener, client.addresses['peer'] = open_narrow_listener()
     made.tasks.append(await curio.spawn(endpoint.serve, listener))
     made.tasks.append(await curio.spawn(peer.serve, peer_listener))
     return made
@@ -148,6 +148,14 @@
     context.endpoint = RawEndpoint(UNBOUNDED, 'resets', send_seconds=seconds)
 
 
+@given(
+    'a tunnel to an endpoint that sends {size:d} bytes after {seconds:g} seconds'
+    ' and waits'
+)
+def step_tunnel_late(context: Context, size: int, seconds: float) -> None:
+    context.endpoint = RawEndpoint(size, 'waits', wait_seconds=seconds)
+
+
 @given('a tunnel to an endpoint that sends {size:d} bytes and {ending}')
 def step_tunnel(context: Context, size: int, ending: str) -> None:
     context.endpoint = RawEndpoint(size, ending)
@@ -179,7 +187,9 @@
 def step_read_late(context: Context, size: int) -> None:
     async def scenario(tunnel: Tunnel) -> None:
         connection = (await tunnel.open()).unwrap()
-        sending = await curio.spawn(connection.sock.sendall, bytes(size))
+        # Bytes that can be compressed would not hold the sender up.
+        sent = tunnel.endpoint.random.randbytes(size)
+        sending = await curio.spawn(connection.sock.sendall, sent)
         await curio.sleep(1)
         await read_all(context, connection.sock)
         await sending.cancel()
@@ -236,7 +246,9 @@
 def step_send(context: Context, size: int) -> None:
     async def scenario(tunnel: Tunnel) -> None:
         connection = (await tunnel.open()).unwrap()
-        sending = await curio.spawn(connection.sock.sendall, bytes(size))
+        # Bytes that can be compressed would not hold the sender up.
+        sent = tunnel.endpoint.random.randbytes(size)
+        sending = await curio.spawn(connection.sock.sendall, sent)
         received = await connection.sock.recv(RECEIVE_BYTES)
         context.count = len(received)
         await sending.cancel()
--- a/packages/turmericyard-node/src/turmericyard_node/peers/channel.py
+++ b/packages/turmericyard-node/src/turmericyard_node/peers/channel.py
@@ -55,11 +55,16 @@
         self.form = FIRST_FORM
 
     async def read(self) -> bytes:
-        """Return the next binary frame; raises ChannelClosed or OSError."""
+        """Return the next binary frame; raises ChannelClosed or OSError.
+
+        What the protocol replies, such as a pong, is sent at once or, where a
+        sender is held up, with the next frame: the reader does not wait for it.
+        """
         while not self.frames:
             await self.receive()
             self.collect_frames()
-            await self.flush()
+            if not self.send_lock.locked():
+                await self.flush()
         return self.frames.popleft()
 
     async def send(self, frame: bytes) -> None:
