Keep a connection's failure and its head check in the connection

Change: no module is loaded that was not loaded before. `read` and `write` of ClientConnection keep the failure; TunnelServer uses them as well, so that a class that only forwards calls is gone. The check of the lines of a head is beside the messages. A write to a tunnel raises BrokenPipeError: only the peer's last message says how the connection ended.

The 123 scenarios of http, broken answers, tunnels and early answers pass.

--- a/features/support/fleet_soak/load.py
+++ b/features/support/fleet_soak/load.py
@@ -13,7 +13,11 @@
 from support.fleet.world import Answer, read_answer, request_lines
 from support.fleet_soak.stage import Stage
 from turmericyard_http.clock import boot_seconds
-from turmericyard_http.connection import ClientConnection, connect
+from turmericyard_http.connection import (
+    ClientConnection,
+    connect,
+    has_input,
+)
 
 OK = 200
 CLIENTS = 12
@@ -167,7 +171,7 @@
             and closing != 'close'
             and self.connection is not None
             and self.connection.recycle()
-            and not self.connection.has_input()
+            and not has_input(self.connection.sock)
         )
 
     async def exchange(self, asked: Asked) -> None:
--- a/packages/turmericyard-http/src/turmericyard_http/client.py
+++ b/packages/turmericyard-http/src/turmericyard_http/client.py
@@ -16,7 +16,12 @@
 from returns.result import Failure, Result, Success
 
 from turmericyard_http.clock import boot_seconds
-from turmericyard_http.connection import ClientConnection, Connect, connect
+from turmericyard_http.connection import (
+    ClientConnection,
+    Connect,
+    connect,
+    has_input,
+)
 from turmericyard_http.errors import AnswerLost, HttpError, NotSent
 from turmericyard_http.messages import Response
 
@@ -168,7 +173,8 @@
         idle_since = connection.idle_since
         if idle_since is None or self.clock() - idle_since >= MAX_IDLE_SECONDS:
             return False
-        return not connection.has_input()
+        # Input is the end of the connection, or bytes that belong to no request.
+        return not has_input(connection.sock)
 
     async def release(self, connection: ClientConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
--- a/packages/turmericyard-http/src/turmericyard_http/connection.py
+++ b/packages/turmericyard-http/src/turmericyard_http/connection.py
@@ -10,10 +10,13 @@
 import curio
 import h11
 
-from turmericyard_http.client_socket import ClientSocket
-from turmericyard_http.messages import Headers, Response
+from turmericyard_http.messages import (
+    HEAD_END,
+    Headers,
+    Response,
+    find_head_defect,
+)
 from turmericyard_http.response_bodies import PROCESS_BODIES, ResponseTooLong
-from turmericyard_http.response_heads import ResponseHeads
 
 RECEIVE_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
@@ -36,7 +39,10 @@
         #: When it became idle last, None during its first exchange.
         self.idle_since: float | None = None
         self.bodies = PROCESS_BODIES
-        self.heads = ResponseHeads()
+        #: Bytes of response heads that are not yet checked.
+        self.unchecked_heads = bytearray()
+        #: The first failure of the connection that a read or write reported.
+        self.failure: OSError | None = None
         self.protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
         )
@@ -59,7 +65,7 @@
         if body:
             payload += send(h11.Data(data=body)) or b''
         payload += send(h11.EndOfMessage()) or b''
-        await self.sock.sendall(payload)
+        await self.write(payload)
 
     async def ask_lines(
         self, method: bytes, target: bytes, lines: Headers, body: bytes
@@ -80,20 +86,18 @@
             await sending.cancel()
 
     async def send_ignoring_errors(self, payload: bytes) -> None:
-        """Send bytes; leave a failure of the connection to the reading side.
+        """Send bytes; leave a failure of the connection to its reader.
 
         It fails in the same way, after it has read what the peer sent before.
         """
         with suppress(OSError):
-            await self.sock.sendall(payload)
+            await self.write(payload)
 
     async def send_lines(
         self, method: bytes, target: bytes, lines: Headers, body: bytes
     ) -> None:
         """Send a complete request with its header lines unchanged."""
-        await self.sock.sendall(
-            self.encode_request(method, target, lines, body)
-        )
+        await self.write(self.encode_request(method, target, lines, body))
 
     def encode_request(
         self, method: bytes, target: bytes, lines: Headers, body: bytes
@@ -167,15 +171,45 @@
             event = self.protocol.next_event()
             if event is not h11.NEED_DATA:
                 if isinstance(event, RESPONSE_HEADS):
-                    self.heads.check(event)
+                    check_head(event, self.unchecked_heads)
                 return event
-            received = await self.sock.recv(RECEIVE_BYTES)
+            received = await self.read()
             if self.protocol.their_state is h11.SEND_RESPONSE:
                 if not received:
                     raise EOFError('connection closed before the response')
-                self.heads.add(received)
+                self.unchecked_heads += received
             self.protocol.receive_data(received)
 
+    async def read(self) -> bytes:
+        """Return the next bytes, empty only after the peer's orderly end.
+
+        Raises OSError when the connection failed, after the bytes that had
+        arrived before. The system reports a failure once, to the read or write
+        that comes first; a read after that looks like an orderly end.
+        """
+        try:
+            received: bytes = await self.sock.recv(RECEIVE_BYTES)
+        except OSError as error:
+            self.failure = self.failure or error
+            raise
+        if received or self.failure is None:
+            return received
+        raise ConnectionResetError(
+            'the connection failed before its orderly end'
+        ) from self.failure
+
+    async def write(self, payload: bytes) -> None:
+        """Send bytes; raises OSError."""
+        try:
+            await self.sock.sendall(payload)
+        except BrokenPipeError:
+            # The first failure of a write is a broken pipe only where the peer
+            # ended its side in order before: its bytes are complete.
+            raise
+        except OSError as error:
+            self.failure = self.failure or error
+            raise
+
     def recycle(self) -> bool:
         """Prepare for the next exchange; False when not reusable.
 
@@ -191,10 +225,6 @@
             return False
         return True
 
-    def has_input(self) -> bool:
-        """Return whether the peer closed or sent unrequested bytes."""
-        return has_input(self.sock)
-
     async def abort(self) -> None:
         """Shut down both directions; another task's read returns at once."""
         with suppress(OSError):
@@ -206,6 +236,27 @@
             await self.sock.close()
 
 
+def check_head(
+    event: h11.InformationalResponse | h11.Response, unchecked: bytearray
+) -> None:
+    """Check the bytes from which h11 read a head and take them out.
+
+    Raises h11.RemoteProtocolError. The bytes after a final head are its body's
+    and are dropped.
+    """
+    end = HEAD_END.search(unchecked)
+    if end is None:
+        # Its bytes came before the request.
+        raise h11.RemoteProtocolError('the head belongs to no request')
+    defect = find_head_defect(unchecked[: end.end()])
+    if defect:
+        raise h11.RemoteProtocolError(defect)
+    if isinstance(event, h11.Response):
+        unchecked.clear()
+    else:
+        del unchecked[: end.end()]
+
+
 def has_input(sock: Any) -> bool:
     """Return whether a read or accept would return without waiting."""
     poller = select.poll()
@@ -258,4 +309,4 @@
     except BaseException:
         await sock.close()
         raise
-    return ClientConnection(ClientSocket(sock), address)
+    return ClientConnection(sock, address)
--- a/packages/turmericyard-http/src/turmericyard_http/messages.py
+++ b/packages/turmericyard-http/src/turmericyard_http/messages.py
@@ -1,5 +1,6 @@
 """HTTP requests and responses."""
 
+import re
 from collections.abc import AsyncIterator, Mapping
 from typing import Any, TypeAlias
 from urllib.parse import parse_qsl, quote, unquote, urlsplit
@@ -9,6 +10,11 @@
 
 #: Header lines in their order, names in lower case.
 Headers: TypeAlias = tuple[tuple[bytes, bytes], ...]
+#: Where a head ends, as h11 finds it.
+HEAD_END = re.compile(rb'\n\r?\n')
+CRLF = b'\r\n'
+FOLDED_LINE = re.compile(rb'\n[ \t]')
+BARE_LINE_FEED = re.compile(rb'(?<!\r)\n')
 
 
 class Request(Struct, frozen=True):
@@ -83,3 +89,19 @@
 def quote_segment(segment: str) -> str:
     """Return the text quoted as one path segment."""
     return quote(segment, safe='')
+
+
+def find_head_defect(head: bytes | bytearray) -> str:
+    """Return why the lines of a head can be read in two ways, empty if not.
+
+    h11 joins a line that begins with a blank to the line before it, and takes
+    a line feed without a carriage return for the end of a line. A field whose
+    name begins with such a byte would become a part of another field, or end
+    the head, so that the body began with the fields after it. A head all of
+    whose lines end with a line feed only is valid.
+    """
+    if FOLDED_LINE.search(head):
+        return 'a line of the head begins with a blank'
+    if CRLF in head and BARE_LINE_FEED.search(head):
+        return 'a line of the head ends with a line feed only, others do not'
+    return ''
--- a/packages/turmericyard-node/src/turmericyard_node/peers/tunnel.py
+++ b/packages/turmericyard-node/src/turmericyard_node/peers/tunnel.py
@@ -62,13 +62,16 @@
         raise ConnectionResetError('the tunnel or its connection was reset')
 
     async def sendall(self, data: bytes) -> None:
-        """Send bytes; raises OSError."""
+        """Send bytes; raises BrokenPipeError.
+
+        Only the peer's last message says how the connection ended.
+        """
         try:
             for offset in range(0, len(data), RECEIVE_BYTES):
                 piece = data[offset : offset + RECEIVE_BYTES]
                 await self.channel.send(encode(TunnelData(bytes(piece))))
-        except ChannelClosed as error:
-            raise ConnectionResetError('the tunnel was closed') from error
+        except (OSError, ChannelClosed) as error:
+            raise BrokenPipeError('the tunnel was closed') from error
 
     async def shutdown(self, _how: int) -> None:
         """Make reads and sends fail."""
@@ -171,10 +174,10 @@
         except (OSError, curio.TaskTimeout):
             await reply(channel, TunnelFailure.UNREACHABLE)
             return
-        returning = await curio.spawn(send_back, channel, connection.sock)
+        returning = await curio.spawn(send_back, channel, connection)
         try:
             await reply(channel, None)
-            await send_on(channel, connection.sock)
+            await send_on(channel, connection)
         finally:
             await returning.cancel()
             await connection.close()
@@ -185,7 +188,7 @@
     await channel.send(encode(TunnelReply(failure)))
 
 
-async def send_on(channel: Channel, sock: Any) -> None:
+async def send_on(channel: Channel, connection: ClientConnection) -> None:
     """Send the peer's bytes to the endpoint until the peer ends the tunnel.
 
     An endpoint that reads no more may still have an answer for the peer.
@@ -195,20 +198,20 @@
     while isinstance(payload, TunnelData):
         try:
             if is_open:
-                await sock.sendall(payload.data)
+                await connection.write(payload.data)
         except OSError:
             is_open = False
         payload = await read_payload(channel)
 
 
-async def send_back(channel: Channel, sock: Any) -> None:
+async def send_back(channel: Channel, connection: ClientConnection) -> None:
     """Send the endpoint's bytes to the peer until the endpoint ends."""
     is_broken = False
     try:
-        received = await sock.recv(RECEIVE_BYTES)
+        received = await connection.read()
         while received:
             await channel.send(encode(TunnelData(received)))
-            received = await sock.recv(RECEIVE_BYTES)
+            received = await connection.read()
     except ChannelClosed:
         return
     except OSError:
