--- a/features/forwarding/broken_answers.feature
+++ b/features/forwarding/broken_answers.feature
@@ -17,7 +17,7 @@
       | engine         | a head without its last byte |
 
   # Guards against lines that are passed on or change where the body begins.
-  Scenario Outline: An answer whose head is no HTTP is none
+  Scenario Outline: An answer whose head is not valid HTTP is not passed on
     Given a world whose <endpoint> answers with <what>
     When a client makes a once-only request
     Then the client is told that the request may have run
--- a/features/http/response_heads.feature
+++ b/features/http/response_heads.feature
@@ -1,4 +1,4 @@
-Feature: Heads of responses that are no HTTP are refused
+Feature: Response heads that are not valid HTTP are refused
 
   # Guards against lines that are passed on as fields or that change where the
   # body begins or ends.
