--- a/review/14/case.py
+++ b/review/14/case.py
@@ -21,7 +21,7 @@
 #: The answer that is lost is that of a run of which there is a copy, while the
 #: copy is brought up to date behind other moves for at least so long.
 QUEUED_SECONDS = 1.6
-LOST_AFTER_SECONDS = 0.05
+LOST_AFTER_SECONDS = 0.01
 LINGER_SECONDS = 8.0
 #: Short requests before, so that one answer in 20 or fewer is lost.
 SHORT = 30
@@ -86,7 +86,7 @@
     # Release: the new runner starts first, the old one drains.
     new = Runner(rig, 'llm', rig.zones[1], 64)
     await new.open()
-    await asyncio.sleep(1.0)
+    await asyncio.sleep(1.6)
     former.leave()
     await asyncio.sleep(LINGER_SECONDS)
     if TROUBLE and not former.lost:
