Pass on no stream or failure without the endpoint's signature

Cause: only CallForwarder.answer checked the signature, after it had read the body. Streams made a run of each 2xx and passed on each other status.

Ruled out: a signature that is lost on the way (the endpoint sent none), a second endpoint (the attempt is at one only).

Change: the adapter reads what a head says (AnswerSigns), and one function of the core (answers/verdict.py) decides what the answer is taken for. The sender applies it to every answer before the body is read: calls, streams, runs that go on, repeats, hedges, tunnels. An unsigned answer below 500 is a 502 without a byte of it, is repeated where the route allows it, counts as a failure of its endpoint, and its limit, back-off and notice are ignored. An empty signature is none.

Statuses from 500 on are as they were.

--- /dev/null
+++ b/features/forwarding/answer_heads.feature
@@ -0,0 +1,108 @@
+Feature: The head of an answer decides what it is taken for
+
+  # Guards against bytes that are taken for the endpoint's answer, or for its
+  # statement that the request has not run.
+  Scenario Outline: <status> with <fields> is <verdict>
+    When an answer has the status <status> and <fields>
+    Then it is taken as <verdict>
+
+    Examples: answers that are passed on
+      | status | fields   | verdict  |
+      | 200    | id, seal | answered |
+      | 200    | seal     | answered |
+      | 204    | id, seal | answered |
+      | 302    | id, seal | answered |
+      | 404    | id, seal | answered |
+      | 500    | id, seal | answered |
+      | 504    | id, seal | answered |
+
+    Examples: answers without the signature
+      | status | fields         | verdict  |
+      | 200    | nothing        | unsigned |
+      | 200    | id             | unsigned |
+      | 200    | id, empty seal | unsigned |
+      | 204    | id             | unsigned |
+      | 302    | id             | unsigned |
+      | 404    | id             | unsigned |
+      | 408    | id             | unsigned |
+      | 429    | id             | unsigned |
+
+    Examples: statements that the request has not run
+      | status | fields           | verdict     |
+      | 400    | not executed     | not-run     |
+      | 429    | id, not executed | not-run     |
+      | 503    | id, not executed | not-run     |
+      | 503    | not executed     | not-run     |
+      | 421    | id               | misdirected |
+      | 421    | instance         | misdirected |
+      | 421    | id, not executed | misdirected |
+
+    Examples: answers to another request
+      | status | fields                 | verdict |
+      | 200    | other id, seal         | foreign |
+      | 500    | other id, seal         | foreign |
+      | 503    | other id, not executed | foreign |
+      | 421    | other id, instance     | foreign |
+
+  # Guards against a stream whose success is passed on without the signature.
+  Scenario Outline: A success without the signature is not passed on: <kind>, <way>, <status>
+    Given a world whose <endpoint>, reached <way>, sends status <status>, id and closes
+    When a client sends a <kind> request
+    Then the client is told that the request may have run
+    And the client got nothing of the endpoint's bytes
+
+    Examples:
+      | kind                 | endpoint       | way            | status |
+      | generation           | engine         | directly       | 200    |
+      | generation           | engine         | through a peer | 200    |
+      | generation           | engine         | directly       | 204    |
+      | generation           | engine         | directly       | 302    |
+      | generation           | engine         | directly       | 404    |
+      | resumable generation | engine         | directly       | 200    |
+      | once-only            | plain endpoint | directly       | 200    |
+      | once-only            | plain endpoint | through a peer | 204    |
+      | repeatable           | plain endpoint | directly       | 200    |
+
+  Scenario Outline: An answer without the signature is repeated elsewhere: <kind>
+    Given a world whose <endpoint>, reached directly, sends status 200, id and closes
+    And a second endpoint that is found after the request was sent
+    When a client sends a <kind> request
+    Then the client got the second endpoint's complete answer
+
+    Examples:
+      | kind                 | endpoint       |
+      | repeatable           | plain endpoint |
+      | resumable generation | engine         |
+
+  Scenario: A signed failure of a generation is passed on unchanged
+    Given a world whose engine, reached directly, sends status 500, id, seal and closes
+    When a client sends a generation request
+    Then the client got the endpoint's complete answer, with status 500
+
+  Scenario: A run is not joined to an unsigned stream at its backup
+    Given a world with 3 engines that keep backups and 1 node
+    When an engine loses a run of 60 events and the next answer lacks the signature
+    Then the client got the first events, each once and in order
+    And the stream was not complete
+
+  Scenario: A resumable run passes over an unsigned stream
+    Given engines with resumable streams
+    And a route that permits 3 runs
+    When an engine loses a run of 60 events and the next answer lacks the signature
+    Then the client got 60 events, each once and in order
+    And the stream was complete
+
+  # One answer in 20 is unsigned; the endpoint still gets its share.
+  Scenario: An endpoint that seldom omits its signature is not ejected
+    Given a world with 2 plain endpoints and 1 node
+    And an endpoint that does not sign each 20th answer
+    When a client makes 120 idempotent calls
+    Then each call was answered 200
+    And both endpoints were used until the end
+
+  Scenario: An endpoint that always omits its signature is ejected
+    Given a world with 2 plain endpoints and 1 node
+    And an endpoint that does not sign each 1st answer
+    When a client makes 40 idempotent calls
+    Then each call was answered 200
+    And one endpoint got at most 15 of the calls
--- a/features/steps/forwarding_broken_answers_steps.py
+++ b/features/steps/forwarding_broken_answers_steps.py
@@ -1,20 +1,20 @@
 """Steps for endpoints whose answers are cut short or meant for others."""
 
-from functools import partial
 from random import Random
 
-import curio
 from behave import given, then, when
 from behave.runner import Context
 
-from support.fleet.cuts import REFUSE, watch_links
-from support.fleet.raw_server import open_narrow_listener
-from support.fleet.scenario import PROMPT, build, run
-from support.fleet.scripted import EVENTS, WHOLE, ScriptedRunner
-from support.fleet.world import World, manifest
+from support.fleet.scenario import PROMPT, run
+from support.fleet.scripted import EVENTS, WHOLE
+from support.fleet.scripted_world import (
+    WORKING,
+    ask_scripted,
+    cut_first_node,
+    prepare_scripted,
+)
+from support.fleet.world import World
 
-#: Endpoint that works beside the faulty one, where there is one.
-WORKING = 'i-1'
 OK = 200
 BAD_GATEWAY = 502
 #: Requests after which each of two endpoints has got one.
@@ -23,12 +23,6 @@
 #: Length of a request of which an endpoint takes only the beginning at once, in
 #: bytes.
 LONG_BODY = 4_000_000
-TARGETS = {
-    'once-only': '/write/a',
-    'repeatable': '/read/a',
-    'generation': '/stream/a',
-    'resumable generation': '/stream/a',
-}
 
 
 @given('a world whose plain endpoint answers with {what}')
@@ -41,45 +35,6 @@
     prepare_scripted(context, 'engines', what)
 
 
-def prepare_scripted(
-    context: Context,
-    service: str,
-    what: str,
-    *,
-    ending: str = 'closes',
-    nodes: int = 1,
-) -> None:
-    async def with_scripted(world: World) -> None:
-        await build(service, 1, nodes, world)
-        listener, address = open_narrow_listener()
-        context.scripted = ScriptedRunner(what, ending)
-        await context.scripted.answering.set()
-        serving = await curio.spawn(context.scripted.serve, listener)
-        world.tasks.append(serving)
-        world.runners['i-0'].address = address
-        world.register('i-0', service)
-        for node in world.nodes.values():
-            endpoints = node.platform_state.registry.endpoints
-            await world.until(
-                lambda known=endpoints: known['i-0'].record.address == address
-            )
-
-    async def prepare_working(world: World) -> None:
-        if 'working' in context:
-            await add_working(world, service)
-
-    context.target = '/stream/a' if service == 'engines' else '/write/a'
-    context.build = with_scripted
-    context.service = service
-    context.prepare = [prepare_working]
-
-
-async def add_working(world: World, service: str) -> None:
-    await world.add_runner(WORKING, service)
-    endpoints = world.nodes['n-0'].platform_state.registry.endpoints
-    await world.until(lambda: WORKING in endpoints)
-
-
 @given('a world whose {endpoint}, reached {way}, sends {what} and {ending}')
 def step_ending(
     context: Context, endpoint: str, way: str, what: str, ending: str
@@ -91,11 +46,6 @@
         context.prepare.append(cut_first_node)
 
 
-async def cut_first_node(world: World) -> None:
-    """Cut the first node off from all endpoints."""
-    await watch_links(world.nodes['n-0']).cut(REFUSE)
-
-
 @given('a second endpoint that is found after the request was sent')
 def step_found_later(context: Context) -> None:
     context.has_second = True
@@ -103,33 +53,7 @@
 
 @when('a client makes a {kind} request with a body of 4 MB')
 def step_upload(context: Context, kind: str) -> None:
-    async def resume(world: World) -> None:
-        world.store.put('op/config', manifest(2, resumable=True))
-        state = world.nodes['n-0'].platform_state
-        await world.until(lambda: state.route_table.configuration.version == 2)
-
-    async def scenario(world: World) -> None:
-        scripted = context.scripted
-        scripted.answering.clear()
-        asking = await curio.spawn(
-            partial(
-                world.ask,
-                'n-0',
-                TARGETS[kind],
-                'at-0',
-                body=Random(1).randbytes(LONG_BODY),
-                **PROMPT,
-            )
-        )
-        await world.until(lambda: scripted.asked or asking.terminated)
-        if 'has_second' in context:
-            await add_working(world, context.service)
-        await scripted.answering.set()
-        context.answers = [await asking.join()]
-
-    if kind == 'resumable generation':
-        context.prepare.append(resume)
-    run(context, scenario)
+    ask_scripted(context, kind, Random(1).randbytes(LONG_BODY))
 
 
 @then("the client got nothing that looks like the endpoint's complete answer")
--- a/features/steps/platform_decoders_steps.py
+++ b/features/steps/platform_decoders_steps.py
@@ -25,7 +25,12 @@
 from turmericyard_fleet import manifest as fleet_manifest
 from turmericyard_fleet import settings as fleet_settings
 from turmericyard_http.messages import Request, Response
-from turmericyard_ports.request import EndpointReport, IncomingRequest, Verdict
+from turmericyard_node.forwarding.answers.verdict import Verdict, judge
+from turmericyard_ports.request import (
+    AnswerSigns,
+    EndpointReport,
+    IncomingRequest,
+)
 
 SEED = 20261204
 
@@ -52,14 +57,13 @@
 def read_answer(lines: Any) -> Any:
     incoming = IncomingRequest('at', b'GET', b'/', 'h', '/', (), b'', 0, 1)
     for status in (200, 421, 503):
-        assert isinstance(
-            ingress.classify_answer(incoming, status, lines), Verdict
-        )
-        signs = ingress.read_endpoint_report(status, lines)
-        assert isinstance(signs, EndpointReport)
-        rest = signs.back_off_seconds
+        signs = ingress.read_answer_signs(incoming, status, lines)
+        assert isinstance(signs, AnswerSigns)
+        assert isinstance(judge(signs), Verdict)
+        report = ingress.read_endpoint_report(status, lines)
+        assert isinstance(report, EndpointReport)
+        rest = report.back_off_seconds
         assert rest is None or 0 < rest < float('inf')
-    ingress.is_signed(lines)
     ingress.response_headers(lines)
     return Success(None)
 
--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -264,6 +264,9 @@
         if backup is not None:
             self.peers[backup].copies[attempt] = run
         kind = (b'content-type', b'text/event-stream')
+        if fault == 'unsigned':
+            events = b'id: %d\ndata: forged\n\n' % (begin + 1)
+            return OpaqueResponse(200, (echo, kind), events)
         return OpaqueResponse(
             200, (echo, SIGNATURE, kind), chunks=self.events(run, fault)
         )
--- a/features/support/fleet/scripted.py
+++ b/features/support/fleet/scripted.py
@@ -62,6 +62,37 @@
 }
 
 
+#: Header lines by the words of `read_fields`.
+FIELDS = {
+    'id': (b'x-turmericyard-attempt-id', b'%s'),
+    'other id': (b'x-turmericyard-attempt-id', b'earlier'),
+    'seal': (b'x-turmericyard-response-seal', b's'),
+    'empty seal': (b'x-turmericyard-response-seal', b''),
+    'not executed': (b'x-turmericyard-not-executed', b'1'),
+    'instance': (b'x-turmericyard-instance-id', b'i-other'),
+}
+STATUS_WORD = 'status '
+
+
+def read_fields(text: str) -> list[tuple[bytes, bytes]]:
+    """Return the header lines named in a text such as `id, seal`."""
+    if text == 'nothing':
+        return []
+    return [FIELDS[word] for word in text.split(', ')]
+
+
+def answer_bytes(kind: str) -> bytes:
+    """Return the bytes of a kind of answer, or of `status 200, id, seal`."""
+    if not kind.startswith(STATUS_WORD):
+        return ANSWERS[kind]
+    status, _, fields = kind.removeprefix(STATUS_WORD).partition(', ')
+    lines = b''.join(
+        b'%s: %s\r\n' % line for line in read_fields(fields or 'nothing')
+    )
+    body = b'content-length: 0\r\n\r\n' if status == '204' else LENGTH + WHOLE
+    return b'HTTP/1.1 %s Answer\r\n' % status.encode() + lines + body
+
+
 async def end_connection(sock: Any, ending: str) -> None:
     """End a connection as `ending` says, with input that was not read."""
     if ending == 'stops reading':
@@ -99,7 +130,8 @@
                     return
                 self.asked += 1
                 await self.answering.wait()
-                await sock.sendall(ANSWERS[self.kind].replace(b'%s', found[1]))
+                answer = answer_bytes(self.kind)
+                await sock.sendall(answer.replace(b'%s', found[1]))
                 await end_connection(sock, self.ending)
 
 
--- /dev/null
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/answers/__init__.py
@@ -0,0 +1,1 @@
+"""Decides what an endpoint's answer may be taken for."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/calls.py
@@ -181,15 +181,9 @@
             await self.sender.crashes.record_completion(job)
         return self.answer(response, body)
 
-    def answer(
-        self, response: EndpointResponse, body: bytes
-    ) -> Answer | MayHaveRun:
-        """Return a complete answer; one below 500 must bear the signature."""
+    def answer(self, response: EndpointResponse, body: bytes) -> Answer:
+        """Return a complete answer."""
         head = response.head
-        if head.status < SERVER_ERROR and not self.platform_adapter.is_signed(
-            head.lines
-        ):
-            return MayHaveRun('the answer is not signed')
         return OpaqueResponse(
             head.status,
             self.platform_adapter.response_headers(head.lines),
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -9,6 +9,7 @@
 from turmericyard_http.clock import Clock
 from turmericyard_http.errors import AnswerLost, HttpError, NotSent
 from turmericyard_node.events import Event, log_event
+from turmericyard_node.forwarding.answers.verdict import Verdict, judge
 from turmericyard_node.forwarding.crash_detector import CrashDetector
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_response import (
@@ -21,7 +22,7 @@
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.rollout.rollouts import Rollouts
 from turmericyard_ports.border import PlatformAdapter
-from turmericyard_ports.request import Continuation, ForwardingContext, Verdict
+from turmericyard_ports.request import Continuation, ForwardingContext
 from turmericyard_ports.settings import Bounds
 
 UNAVAILABLE = 503
@@ -31,6 +32,11 @@
 )
 #: Answers with this status or a higher one count as failures of the endpoint.
 SERVER_ERROR = 500
+#: Answers that are not the endpoint's answer to the request.
+INVALID_ANSWERS = {
+    Verdict.FOREIGN: 'the answer belongs to another request',
+    Verdict.UNSIGNED: 'the answer is not signed',
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,8 +172,10 @@
             return await self.classify_error(job, endpoint, result.failure())
         response: EndpointResponse = result.unwrap()
         head = response.head
-        verdict = self.platform_adapter.classify_answer(
-            job.incoming, head.status, head.lines
+        verdict = judge(
+            self.platform_adapter.read_answer_signs(
+                job.incoming, head.status, head.lines
+            )
         )
         if verdict in {Verdict.ANSWERED, Verdict.NOT_RUN}:
             await self.observe_report(endpoint, head)
@@ -176,9 +184,10 @@
             self.fleet.tally.observe(endpoint, failed=failed)
             return response
         await response.close()
-        if verdict is Verdict.FOREIGN:
+        invalid = INVALID_ANSWERS.get(verdict)
+        if invalid is not None:
             self.fleet.tally.observe(endpoint, failed=True)
-            return MayHaveRun('the answer belongs to another request')
+            return MayHaveRun(f'{invalid}, status {head.status}')
         if verdict is Verdict.MISDIRECTED:
             self.observe_unreachable(endpoint)
         return NotRun(f'{verdict.value}, status {head.status}')
--- a/packages/turmericyard-ports/src/turmericyard_ports/border.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/border.py
@@ -11,11 +11,11 @@
 from turmericyard_ports.configuration import Configuration
 from turmericyard_ports.endpoint import CopiedRun, CopyError, EndpointRecord
 from turmericyard_ports.request import (
+    AnswerSigns,
     EndpointReport,
     ForwardingContext,
     Headers,
     IncomingRequest,
-    Verdict,
 )
 from turmericyard_ports.rollout import RolloutOrder, RolloutStatus
 from turmericyard_ports.settings import ForwardingSettings
@@ -106,19 +106,16 @@
     ) -> Headers:
         """Return the headers of the request that is sent to an endpoint."""
 
-    def classify_answer(
+    def read_answer_signs(
         self, incoming: IncomingRequest, status: int, headers: Headers
-    ) -> Verdict:
-        """Return how an endpoint's answer is to be treated."""
+    ) -> AnswerSigns:
+        """Return what the head of an endpoint's answer to a request says."""
 
     def read_endpoint_report(
         self, status: int, headers: Headers
     ) -> EndpointReport:
         """Return what an endpoint's answer tells about the endpoint."""
 
-    def is_signed(self, headers: Headers) -> bool:
-        """Return whether an answer has the endpoint's signature header."""
-
     def response_headers(self, headers: Headers) -> Headers:
         """Return the headers that are passed back to the client."""
 
--- a/packages/turmericyard-ports/src/turmericyard_ports/request.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/request.py
@@ -4,8 +4,6 @@
 the core needs for its decisions are decoded.
 """
 
-from enum import Enum
-
 from msgspec import Struct
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -75,17 +73,18 @@
     last_event_id: str
 
 
-class Verdict(Enum):
-    """How an endpoint's answer is to be treated."""
+class AnswerSigns(Struct, frozen=True):
+    """What the head of an answer says about its origin and the request.
+
+    `is_signed` tells that it bears the endpoint's signature, `states_not_run`
+    that it says that the endpoint did not run the request, and
+    `names_other_request` that it bears the id of another attempt.
+    """
 
-    #: The endpoint answered this request.
-    ANSWERED = 'answered'
-    #: The endpoint did not run the request and will not run it.
-    NOT_RUN = 'not-run'
-    #: The address now belongs to another endpoint; the request did not run.
-    MISDIRECTED = 'misdirected'
-    #: The answer is for another request than the one sent.
-    FOREIGN = 'foreign'
+    status: int
+    is_signed: bool = False
+    states_not_run: bool = False
+    names_other_request: bool = False
 
 
 class EndpointReport(Struct, frozen=True):
