Let a run go on only when its endpoint no longer works on it

Cause: RunStop.wait let the run go on after 2 s although the last reply was that the endpoint works on it. The pauses between requests to stop grew to 1 s, and the node began a further copy of the run, which the endpoint gave as the reason to refuse again.

Ruled out: lost requests (the one that came was carried out at once).

Change: a run waits for an answer. While the endpoint says that it works on the run, the run goes nowhere, up to the time at which its client would leave; then the stream ends broken (Job.running_at), and a resumable request is not run anew either. The node knows its own copies (CopyCalls), asks again when they end, and begins none for a run whose stream is lost. A first copy that is under way is waited for too. Two stops of one run at one endpoint are one.

--- a/features/steps/forwarding_run_stops_steps.py
+++ b/features/steps/forwarding_run_stops_steps.py
@@ -21,6 +21,10 @@
 #: a run that broke off sooner twice does not go on.
 ESTABLISHED_SECONDS = 0.7
 COPY_SECONDS = 0.6
+#: What is copied first, and a time within a copy, in seconds.
+FIRST_COPY = 'a copy'
+COPY_BEGUN_SECONDS = 0.1
+UNENDING_SECONDS = 1000
 FREE_SECONDS = 0.3
 DEADLINE_MS = 8000
 
@@ -118,6 +122,86 @@
     run(context, scenario)
 
 
+@when(
+    'an engine that leaves loses the answer of a run of {count:d} events while'
+    ' {copy} is made for {seconds:g} seconds'
+)
+def step_lose_in_copy(
+    context: Context, count: int, copy: str, seconds: float
+) -> None:
+    async def scenario(world: World) -> None:
+        asking = await start(world, count)
+        context.former = await begin_copy(world, copy, seconds)
+        context.copies_before = len(context.former.moves)
+        context.former.loses_answers = RESET
+        await finish(context, world, asking)
+
+    run(context, scenario)
+
+
+async def begin_copy(world: World, copy: str, seconds: float) -> FleetRunner:
+    """Return an engine that leaves once it makes a slow copy of its run."""
+    identity = current(world)
+    former = world.runners[identity]
+    set_pace(world, identity)
+    if copy == FIRST_COPY:
+        former.copy_seconds = seconds
+    world.register(identity, 'engines', 'draining')
+    if copy != FIRST_COPY:
+        await world.until(lambda: bool(former.moved_to))
+        former.copy_seconds = seconds
+    await world.until(lambda: bool(former.copying))
+    await curio.sleep(COPY_BEGUN_SECONDS)
+    return former
+
+
+@when(
+    'an engine that leaves is out of reach while a newer copy of a run of'
+    ' {count:d} events is made'
+)
+def step_out_of_reach(context: Context, count: int) -> None:
+    async def scenario(world: World) -> None:
+        asking = await start(world, count)
+        former = await begin_copy(world, 'a newer one', UNENDING_SECONDS)
+        former.answers_moves = False
+        # The engine ends its run and resets the stream's connection.
+        former.runs.clear()
+        await finish(context, world, asking)
+
+    run(context, scenario)
+
+
+@when('a run of {count:d} events is to be stopped twice at the same time')
+def step_stop_twice(context: Context, count: int) -> None:
+    async def scenario(world: World) -> None:
+        asking = await start(world, count)
+        context.former = world.runners[current(world)]
+        streams = world.nodes['n-0'].request_handler.streams
+        [stopped] = streams.run_registry.runs
+        for _ in range(2):
+            stopper = streams.stream_failover.stopper
+            await stopper.begin(stopped.job, stopped.current_endpoint)
+        await finish(context, world, asking)
+
+    run(context, scenario)
+
+
+@then('the engine was asked for no copy after the loss but to stop the run')
+def step_no_copy(context: Context) -> None:
+    asked = context.former.moves[context.copies_before :]
+    assert asked and all(asked), asked
+
+
+@then('the engine was asked to stop the run {count:d} times at most')
+def step_asked(context: Context, count: int) -> None:
+    assert 0 < sum(context.former.moves) <= count, context.former.moves
+
+
+@then('the client was told within {seconds:g} seconds')
+def step_told(context: Context, seconds: float) -> None:
+    assert context.answer.seconds <= seconds, context.answer.seconds
+
+
 async def start(world: World, count: int) -> Any:
     return await stream(world, count, deadline_ms=DEADLINE_MS)
 
@@ -126,14 +210,18 @@
     """Lose the answer of the run at the engine that has it."""
     identity = current(world)
     if loss == SILENCE:
-        for each, runner in world.runners.items():
-            slow = each == identity
-            runner.event_seconds = (
-                SLOW_EVENT_SECONDS if slow else FAST_EVENT_SECONDS
-            )
+        set_pace(world, identity)
     world.runners[identity].loses_answers = loss
 
 
+def set_pace(world: World, slow: str) -> None:
+    """Let an engine make events slowly and all others fast."""
+    for identity, runner in world.runners.items():
+        runner.event_seconds = (
+            SLOW_EVENT_SECONDS if identity == slow else FAST_EVENT_SECONDS
+        )
+
+
 def current(world: World) -> str:
     """Return the engine whose stream of the run is passed on."""
     return next(
--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -80,6 +80,14 @@
     moves_lost: int = 0
     #: How many of the next requests to move a run come during another move.
     moves_refused: int = 0
+    #: How long a copy takes, in seconds.
+    copy_seconds: float = COPY_SECONDS
+    #: Attempts whose runs are being copied.
+    copying: set[str] = field(default_factory=set)
+    #: Requests to move a run: whether each is the last one.
+    moves: list[bool] = field(default_factory=list)
+    #: Whether it answers requests to move a run.
+    answers_moves: bool = True
     #: Reports that it gave.
     reports: int = 0
     #: All its answers say that it leaves.
@@ -365,14 +373,17 @@
         return json_response(200 if held else 404, {})
 
     async def move(self, body: dict[str, Any]) -> Any:
+        self.moves.append(body['last'])
+        if not self.answers_moves:
+            await curio.sleep(1000)
         if self.moves_lost:
             self.moves_lost -= 1
             raise ConnectionAbortedError
         run = self.runs.get(body['id'])
         if run is None:
             return json_response(404, {})
-        if self.moves_refused:
-            self.moves_refused -= 1
+        if self.moves_refused or run.attempt in self.copying:
+            self.moves_refused = max(0, self.moves_refused - 1)
             return json_response(409, {})
         handle = f'h-{body["id"]}'
         if body['last']:
@@ -383,7 +394,11 @@
                 return json_response(503, {})
             self.copies[handle] = Made(run.attempt, run.made, run.length)
             return json_response(503, {'handle': handle})
-        await curio.sleep(COPY_SECONDS)
+        self.copying.add(run.attempt)
+        try:
+            await curio.sleep(self.copy_seconds)
+        finally:
+            self.copying.discard(run.attempt)
         self.moved_to[handle] = body['to']
         target.copies[handle] = Made(run.attempt, run.made, run.length)
         return json_response(
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/forwarder_assembly.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/forwarder_assembly.py
@@ -103,4 +103,5 @@
         instruments,
         cleaner,
         fleet.paths,
+        stopper.copy_calls,
     )
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/job.py
@@ -9,6 +9,13 @@
 
 #: Expected share of the maximum output, for callers that give no estimate.
 EXPECTED_OUTPUT_SHARE = 0.4
+#: Time without a complete event after which a stream is continued at another
+#: endpoint, if one can continue it, in seconds. A failure has to be complete
+#: within the same time.
+SILENCE_SECONDS = 5.0
+#: The same for a stream that no other endpoint can continue, as a multiple of
+#: the latency target: clients abandon a stream after a gap of that length.
+SILENCE_LATENCY_TARGETS = 4
 #: Lowest urgency that endpoints distinguish; 0 is served first.
 LOWEST_URGENCY = 9
 #: Priorities of routes within one priority of workspaces.
@@ -39,6 +46,9 @@
     #: Identities of endpoints that may still work on it, though it went on at
     #: another one.
     unstopped_endpoints: set[str] = field(default_factory=set)
+    #: Identities of endpoints that say that they work on it and cannot be
+    #: stopped: it goes on nowhere else.
+    running_at: set[str] = field(default_factory=set)
     #: How often it was sent, also to endpoints that did not run it.
     send_count: int = 0
     #: How many endpoints may have begun to run it anew.
@@ -78,7 +88,17 @@
 
     def may_run_again(self) -> bool:
         """Return whether one more endpoint may run the request."""
-        return self.route.may_repeat and self.run_count < self.route.attempts
+        return (
+            self.route.may_repeat
+            and self.run_count < self.route.attempts
+            and not self.running_at
+        )
+
+    @property
+    def patience_seconds(self) -> float:
+        """Return the longest gap in its stream for which its client waits."""
+        target = self.route.latency_target_seconds
+        return max(SILENCE_SECONDS, SILENCE_LATENCY_TARGETS * target)
 
     def expected_output(self) -> float:
         """Return the expected output of a generation, in tokens."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
@@ -19,6 +19,7 @@
 from turmericyard_node.forwarding.load_tracker import LoadTracker, RequestLoad
 from turmericyard_node.forwarding.paths import EndpointPaths
 from turmericyard_node.forwarding.placement import HubPlacement
+from turmericyard_node.forwarding.run_stops.copy_calls import CopyCalls
 from turmericyard_node.forwarding.runs import Run, RunCopy, RunRegistry
 from turmericyard_ports.border import PlatformAdapter
 
@@ -47,6 +48,7 @@
     instruments: Instruments
     cleaner: CopyCleaner
     paths: EndpointPaths
+    copy_calls: CopyCalls
 
     async def copy_until_ended(self, endpoint: Endpoint) -> None:
         """Copy the runs of a leaving endpoint until none is left there.
@@ -70,7 +72,9 @@
     def needs_copy(self, run: Run) -> bool:
         """Return whether the run lacks a recent copy that is worth its cost."""
         engine = run.job.service.engine
-        if engine is None or not engine.can_copy_runs or run.ended:
+        if engine is None or not engine.can_copy_runs:
+            return False
+        if run.ended or run.is_interrupted:
             return False
         if run.backup is not None and self.may_hold_copy(run.backup):
             return False
@@ -90,10 +94,18 @@
             await self.copy(run)
 
     async def copy(self, run: Run) -> None:
-        """Copy a run, or refresh its copy."""
+        """Copy a run, or refresh its copy.
+
+        A run whose stream is lost is not copied: it is to be stopped, which a
+        copy would hold up.
+        """
         source = run.current_endpoint
         holder = await self.choose_holder(run)
-        if run.ended:
+        if (
+            run.ended
+            or run.is_interrupted
+            or run.current_endpoint is not source
+        ):
             return
         if holder is None:
             self.log(run, None, 0, 'no other endpoint has room')
@@ -103,13 +115,14 @@
         )
         await self.loads.changed.set()
         started_at = self.clock()
-        copied = await self.platform_adapter.copy_run(
-            self.paths.connect,
-            source.record.address,
-            run.job.attempt,
-            holder.record.address,
-            last=False,
-        )
+        async with self.copy_calls.during(run.job, source):
+            copied = await self.platform_adapter.copy_run(
+                self.paths.connect,
+                source.record.address,
+                run.job.attempt,
+                holder.record.address,
+                last=False,
+            )
         done = isinstance(copied, Success)
         detail = '' if done else copied.failure().message
         self.log(run, holder, self.clock() - started_at, detail)
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/runs.py
@@ -46,6 +46,8 @@
     copy: RunCopy | None = None
     failed_holders: set[str] = field(default_factory=set)
     ended: bool = False
+    #: Whether its stream is lost and it does not go on elsewhere yet.
+    is_interrupted: bool = False
     copied_at: float = 0
     moves: int = 0
     first_event_at: float = 0
@@ -88,6 +90,10 @@
         """Return whether another endpoint has a copy or backup of the run."""
         return self.copy is not None or self.has_backup()
 
+    def client_waits_until(self) -> float:
+        """Return until when its client waits for the next event, in seconds."""
+        return self.last_progress_at + self.job.patience_seconds
+
     def is_established_here(self) -> bool:
         """Return whether the current endpoint has answered for some time."""
         if not self.first_event_here_at:
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/stream_failover.py
@@ -27,6 +27,7 @@
 MIN_BACKUP_TOKENS = 100
 #: Time limit for the response of an endpoint that continues a run, in seconds.
 CONTINUE_TIMEOUT_SECONDS = 3.0
+STILL_RUNNING_DETAIL = 'its endpoint works on it and could not be stopped'
 #: Time for which a broken resumable stream waits for room, in seconds, and the
 #: pause between two attempts to place it.
 ROOM_SECONDS = 1.0
@@ -46,6 +47,7 @@
 
     async def continue_elsewhere(self, run: Run, detail: str) -> bool:
         """Continue a run at another endpoint; return whether that worked."""
+        run.is_interrupted = True
         await run.response.close()
         await self.placement.end_queue_place(run.job)
         if run.job.seconds_left(self.clock()) <= 0:
@@ -55,7 +57,20 @@
         ):
             return False
         await self.stop_run(run)
+        if await self.continue_from_copy(run, detail):
+            return True
+        if await self.run_anew(run, detail):
+            return True
+        if run.job.running_at:
+            detail = f'{detail}: {STILL_RUNNING_DETAIL}'
+        log_event(Event.STREAM_FAILED, attempt=run.job.attempt, message=detail)
+        return False
+
+    async def continue_from_copy(self, run: Run, detail: str) -> bool:
+        """Continue a run from its copy or backup; return whether that worked."""
         for endpoint, copied in self.continuations(run):
+            if run.job.running_at:
+                return False
             if not self.placement.endpoint_selector.platform_state.may_continue_run(
                 endpoint
             ):
@@ -70,24 +85,28 @@
                     cause=detail,
                 )
                 return True
-        if await self.run_anew(run, detail):
-            return True
-        log_event(Event.STREAM_FAILED, attempt=run.job.attempt, message=detail)
         return False
 
     async def stop_run(self, run: Run) -> None:
-        """Stop a run at its endpoint if it can go on at another one."""
-        copy = run.copy
-        holder = copy.holder if copy else run.backup
-        if holder is None and not run.job.route.may_repeat:
-            return
-        run_stop = await self.stopper.begin(
-            run.job, run.current_endpoint, holder, keeps_copy=copy is not None
+        """Stop a run at its endpoint if it can go on at another one.
+
+        A copy that is under way is waited for: the run goes on from it.
+        """
+        job = run.job
+        may_go_on = (
+            run.copy is not None
+            or run.backup is not None
+            or job.route.may_repeat
+            or self.stopper.copy_calls.is_under_way(job, run.current_endpoint)
         )
+        if not may_go_on:
+            return
+        run_stop = await self.stopper.begin(job, run.current_endpoint, run)
         if run_stop is None:
             return
-        await run_stop.wait()
-        if copy is not None and run_stop.keeps_copy and run_stop.copied:
+        await run_stop.wait(run.client_waits_until())
+        copy = run.copy
+        if copy is not None and run_stop.copied and run_stop.keeps_copy:
             run.copy = replace(copy, copied=run_stop.copied)
 
     def continuations(self, run: Run) -> list[tuple[Endpoint, Continuation]]:
@@ -128,7 +147,8 @@
             run.job, endpoint, seconds, backup=backup, copied=copied
         )
         if isinstance(response, MayHaveRun):
-            await self.stopper.stop(run.job, endpoint)
+            until = run.client_waits_until()
+            await self.stopper.stop(run.job, endpoint, until)
         if not isinstance(response, EndpointResponse):
             return False
         if not response.succeeded:
@@ -160,7 +180,8 @@
             response = await self.sender.send(job, endpoint, seconds)
             job.run_count += not isinstance(response, NotRun)
             if isinstance(response, MayHaveRun):
-                await self.stopper.stop(job, endpoint)
+                until = run.client_waits_until()
+                await self.stopper.stop(job, endpoint, until)
             if not isinstance(response, EndpointResponse):
                 continue
             if response.succeeded:
@@ -213,6 +234,7 @@
         run.response = response
         run.backup = backup
         run.copy = None
+        run.is_interrupted = False
         run.moves += 1
         run.last_progress_at = self.clock()
         run.first_event_here_at = 0
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/streams.py
@@ -19,7 +19,7 @@
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_response import EndpointResponse
 from turmericyard_node.forwarding.instruments import Instruments
-from turmericyard_node.forwarding.job import Job
+from turmericyard_node.forwarding.job import SILENCE_SECONDS, Job
 from turmericyard_node.forwarding.load_tracker import LoadTracker, RequestLoad
 from turmericyard_node.forwarding.runs import Run, RunRegistry
 from turmericyard_node.forwarding.sending import MayHaveRun, NotRun, Sender
@@ -40,13 +40,6 @@
 #: Rejections by endpoints after which a request is still sent again; one more
 #: refuses it with a retry-after time.
 MAX_REJECTIONS = 3
-#: Time without a complete event after which a stream is continued at another
-#: endpoint, if one can continue it, in seconds. A failure has to be complete
-#: within the same time.
-SILENCE_SECONDS = 5.0
-#: The same for a stream that no other endpoint can continue, as a multiple of
-#: the latency target: clients abandon a stream after a gap of that length.
-SILENCE_LATENCY_TARGETS = 4
 #: Errors of a connection that the endpoint has closed or reset.
 DISCONNECTS = (OSError, EOFError)
 #: Errors after which the stream may continue at another endpoint.
@@ -181,7 +174,11 @@
             return outcome
         if isinstance(outcome, MayHaveRun):
             if job.may_run_again():
-                await self.stream_failover.stopper.stop(job, endpoint)
+                await self.stream_failover.stopper.stop(
+                    job,
+                    endpoint,
+                    job.incoming.arrived_at + job.patience_seconds,
+                )
             return self.platform_adapter.refusal(BAD_GATEWAY, outcome.detail)
         head = outcome.head
         seconds = min(SILENCE_SECONDS, job.seconds_left(self.clock()))
@@ -334,8 +331,7 @@
         """
         silence = SILENCE_SECONDS
         if not run.can_continue():
-            target = run.job.route.latency_target_seconds
-            silence = max(silence, SILENCE_LATENCY_TARGETS * target)
+            silence = run.job.patience_seconds
         now = self.clock()
         return max(
             0,
