Take a refusal without the statement "not executed" for no promise

What callers saw: an endpoint ran a booking and answered 503 without signature, id or "not executed".

Cause: statuses from 500 on were passed on without the signature, and a 503 counted as an answer like any other. A signed 408, 429 or 503 without the statement was passed on as well, and a bare 421, or one with a signature, sent the request to a second endpoint. A status was taken for a statement that only a header makes.

Ruled out: a refusal by a second endpoint (the attempt is at one only) and a 503 of the node's own (with the same bytes the client got the endpoint's body and no time to return).

Change: in the table of heads, nothing is passed on without the signature, whatever its status; a signed 408, 421, 429 or 503 without "not executed", and a success with it, leave open whether the request has run. Both are a 502 without signature, are repeated where the route allows it, and count against the endpoint. A misdirection has the request's id, an identity or "not executed". Several ids count all. A back-off, limit or notice counts only in an answer that comes from the endpoint. The stand-in's failure that ends with its connection got the signature, so that its scenario still reaches the body.

--- a/features/steps/forwarding_answer_heads_steps.py
+++ b/features/steps/forwarding_answer_heads_steps.py
@@ -9,13 +9,16 @@
 from support.fleet.runner import RESET, FleetRunner
 from support.fleet.scenario import run, running, stream
 from support.fleet.scripted import WHOLE, read_fields
-from support.fleet.scripted_world import ask_scripted
+from support.fleet.scripted_world import WORKING, ask_scripted
 from support.fleet.world import World, manifest
 from turmericyard_fleet import ingress
+from turmericyard_http.clock import boot_seconds
 from turmericyard_node.forwarding.answers.verdict import judge
+from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_ports.request import IncomingRequest
 
 ATTEMPT = 'at-0'
+UNAVAILABLE = 503
 #: Route of resumable streams with more runs than by default.
 RUNS_PERMITTED = 3
 #: Calls that are looked at as the last ones.
@@ -50,6 +53,45 @@
     assert 'x-turmericyard-response-seal' not in answer.headers, answer
 
 
+@then('the second endpoint got no request')
+def step_not_second(context: Context) -> None:
+    assert not context.world.runners[WORKING].arrivals
+
+
+@then('the client is refused with a time to return')
+def step_refused(context: Context) -> None:
+    answer = context.answers[-1]
+    assert answer.status == UNAVAILABLE, answer
+    assert float(answer.headers['retry-after']) > 0, answer
+    assert WHOLE not in answer.body, answer
+
+
+@then('the endpoint is asked without a rest')
+def step_no_rest(context: Context) -> None:
+    assert not scripted_endpoint(context).is_backing_off(boot_seconds())
+
+
+@then('the endpoint rests')
+def step_rest(context: Context) -> None:
+    assert scripted_endpoint(context).is_backing_off(boot_seconds())
+
+
+@then('the endpoint is used without a limit')
+def step_no_limit(context: Context) -> None:
+    assert scripted_endpoint(context).requests_per_second is None
+
+
+@then('the endpoint is not taken as leaving')
+def step_stays(context: Context) -> None:
+    assert scripted_endpoint(context).usable()
+
+
+def scripted_endpoint(context: Context) -> Endpoint:
+    """Return what the node knows of the endpoint with the given bytes."""
+    node = context.world.nodes['n-0']
+    return node.platform_state.registry.endpoints['i-0']
+
+
 @given('a route that permits 3 runs')
 def step_route(context: Context) -> None:
     async def prepare(world: World) -> None:
--- a/features/support/fleet/scripted.py
+++ b/features/support/fleet/scripted.py
@@ -16,7 +16,7 @@
 SEAL = b'x-turmericyard-response-seal: s\r\n'
 ECHO = b'x-turmericyard-attempt-id: %s\r\n'
 HEAD = b'HTTP/1.1 200 OK\r\n' + ECHO + SEAL
-FAILURE = b'HTTP/1.1 500 Failed\r\n' + ECHO
+FAILURE = b'HTTP/1.1 500 Failed\r\n' + ECHO + SEAL
 STREAM = HEAD + b'content-type: text/event-stream\r\n\r\n'
 EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
 EARLIER = (
@@ -70,6 +70,9 @@
     'empty seal': (b'x-turmericyard-response-seal', b''),
     'not executed': (b'x-turmericyard-not-executed', b'1'),
     'instance': (b'x-turmericyard-instance-id', b'i-other'),
+    'retry-after': (b'retry-after', b'30'),
+    'limit': (b'server-limit', b'0.1'),
+    'leaving': (b'server-leaving', b'1'),
 }
 STATUS_WORD = 'status '
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/answers/verdict.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/answers/verdict.py
@@ -8,10 +8,15 @@
 
 from turmericyard_ports.request import AnswerSigns
 
-OK = 200
 MULTIPLE_CHOICES = 300
-SERVER_ERROR = 500
+REQUEST_TIMEOUT = 408
 MISDIRECTED = 421
+TOO_MANY_REQUESTS = 429
+UNAVAILABLE = 503
+#: Statuses that clients take for the promise that their request has not run.
+PROMISES = frozenset(
+    (REQUEST_TIMEOUT, MISDIRECTED, TOO_MANY_REQUESTS, UNAVAILABLE)
+)
 
 
 class Verdict(Enum):
@@ -27,16 +32,35 @@
     FOREIGN = 'foreign'
     #: The answer lacks the endpoint's signature; the request may have run.
     UNSIGNED = 'unsigned'
+    #: The endpoint's answer leaves open whether the request has run.
+    UNCLEAR = 'unclear'
 
 
 def judge(signs: AnswerSigns) -> Verdict:
     """Return how the answer with these signs is treated."""
     if signs.names_other_request:
         return Verdict.FOREIGN
-    if signs.status == MISDIRECTED:
+    if is_misdirected(signs):
         return Verdict.MISDIRECTED
-    if signs.states_not_run:
+    is_success = signs.status < MULTIPLE_CHOICES
+    if signs.states_not_run and not is_success:
         return Verdict.NOT_RUN
-    if signs.status < SERVER_ERROR and not signs.is_signed:
+    if not signs.is_signed:
         return Verdict.UNSIGNED
+    if signs.states_not_run or signs.status in PROMISES:
+        return Verdict.UNCLEAR
     return Verdict.ANSWERED
+
+
+def is_misdirected(signs: AnswerSigns) -> bool:
+    """Return whether another endpoint answered that the request is not for it.
+
+    Such an answer says who gives it or for which request. A signature is that
+    of an endpoint which ran the request.
+    """
+    if signs.status != MISDIRECTED:
+        return False
+    if signs.states_not_run:
+        return True
+    has_origin = signs.names_request or signs.names_endpoint
+    return has_origin and not signs.is_signed
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -36,7 +36,12 @@
 INVALID_ANSWERS = {
     Verdict.FOREIGN: 'the answer belongs to another request',
     Verdict.UNSIGNED: 'the answer is not signed',
+    Verdict.UNCLEAR: 'the answer does not say whether the request has run',
 }
+#: Answers that come from the endpoint itself.
+TRUSTED_ANSWERS = frozenset(
+    (Verdict.ANSWERED, Verdict.NOT_RUN, Verdict.UNCLEAR)
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -177,7 +182,7 @@
                 job.incoming, head.status, head.lines
             )
         )
-        if verdict in {Verdict.ANSWERED, Verdict.NOT_RUN}:
+        if verdict in TRUSTED_ANSWERS:
             await self.observe_report(endpoint, head)
         if verdict is Verdict.ANSWERED:
             failed = head.status >= SERVER_ERROR
--- a/packages/turmericyard-ports/src/turmericyard_ports/request.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/request.py
@@ -77,14 +77,18 @@
     """What the head of an answer says about its origin and the request.
 
     `is_signed` tells that it bears the endpoint's signature, `states_not_run`
-    that it says that the endpoint did not run the request, and
-    `names_other_request` that it bears the id of another attempt.
+    that it says that the endpoint did not run the request. `names_request` and
+    `names_other_request` tell that it bears the id of the attempt that was sent
+    or of another one, `names_endpoint` that it bears the identity of the
+    endpoint that answers.
     """
 
     status: int
     is_signed: bool = False
     states_not_run: bool = False
+    names_request: bool = False
     names_other_request: bool = False
+    names_endpoint: bool = False
 
 
 class EndpointReport(Struct, frozen=True):
