Pass on no success whose body has an encoding

What callers saw: a signed 200 with a Content-Encoding was passed on, for calls and streams. Clients request bodies without any encoding; such a body is not the endpoint's (PROTOCOL.md, Answers), and the answer counts as MIXED.

Cause: the head of an answer was never looked at for it.

Change: one more row in the table of heads. Such a success is a 502, is repeated where the route allows it and counts against the endpoint. `identity` is no encoding, and a failure passes as it is.

--- a/features/forwarding/answer_heads.feature
+++ b/features/forwarding/answer_heads.feature
@@ -16,6 +16,14 @@
       | 500    | id, seal | answered |
       | 504    | id, seal | answered |
 
+    # Clients ask for bodies without any encoding.
+    Examples: bodies with an encoding
+      | status | fields             | verdict  |
+      | 200    | id, seal, gzip     | encoded  |
+      | 200    | id, seal, identity | answered |
+      | 500    | id, seal, gzip     | answered |
+      | 200    | id, gzip           | unsigned |
+
     Examples: answers without the signature
       | status | fields            | verdict  |
       | 200    | nothing           | unsigned |
@@ -113,6 +121,18 @@
       | generation | engine         | directly       | status 429, id, seal |
       | generation | engine         | directly       | status 421           |
 
+  # Guards against a body that is passed on as if it were not encoded.
+  Scenario Outline: A success whose body is encoded is not passed on: <kind>
+    Given a world whose <endpoint>, reached directly, sends status 200, id, seal, gzip and closes
+    When a client sends a <kind> request
+    Then the client is told that the request may have run
+    And the client got nothing of the endpoint's bytes
+
+    Examples:
+      | kind       | endpoint       |
+      | once-only  | plain endpoint |
+      | generation | engine         |
+
   Scenario Outline: An answer that is none is repeated elsewhere: <kind>, <answer>
     Given a world whose <endpoint>, reached directly, sends <answer> and closes
     And a second endpoint that is found after the request was sent
--- a/features/support/fleet/scripted.py
+++ b/features/support/fleet/scripted.py
@@ -73,6 +73,8 @@
     'retry-after': (b'retry-after', b'30'),
     'limit': (b'server-limit', b'0.1'),
     'leaving': (b'server-leaving', b'1'),
+    'gzip': (b'content-encoding', b'gzip'),
+    'identity': (b'content-encoding', b'Identity'),
 }
 STATUS_WORD = 'status '
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/answers/verdict.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/answers/verdict.py
@@ -34,6 +34,8 @@
     UNSIGNED = 'unsigned'
     #: The endpoint's answer leaves open whether the request has run.
     UNCLEAR = 'unclear'
+    #: The body has an encoding, for which no client asks.
+    ENCODED = 'encoded'
 
 
 def judge(signs: AnswerSigns) -> Verdict:
@@ -49,6 +51,8 @@
         return Verdict.UNSIGNED
     if signs.states_not_run or signs.status in PROMISES:
         return Verdict.UNCLEAR
+    if signs.is_encoded and is_success:
+        return Verdict.ENCODED
     return Verdict.ANSWERED
 
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -37,10 +37,16 @@
     Verdict.FOREIGN: 'the answer belongs to another request',
     Verdict.UNSIGNED: 'the answer is not signed',
     Verdict.UNCLEAR: 'the answer does not say whether the request has run',
+    Verdict.ENCODED: 'the body of the answer is encoded',
 }
 #: Answers that come from the endpoint itself.
 TRUSTED_ANSWERS = frozenset(
-    (Verdict.ANSWERED, Verdict.NOT_RUN, Verdict.UNCLEAR)
+    (
+        Verdict.ANSWERED,
+        Verdict.NOT_RUN,
+        Verdict.UNCLEAR,
+        Verdict.ENCODED,
+    )
 )
 
 
--- a/packages/turmericyard-ports/src/turmericyard_ports/request.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/request.py
@@ -80,7 +80,7 @@
     that it says that the endpoint did not run the request. `names_request` and
     `names_other_request` tell that it bears the id of the attempt that was sent
     or of another one, `names_endpoint` that it bears the identity of the
-    endpoint that answers.
+    endpoint that answers, and `is_encoded` that its body has an encoding.
     """
 
     status: int
@@ -89,6 +89,7 @@
     names_request: bool = False
     names_other_request: bool = False
     names_endpoint: bool = False
+    is_encoded: bool = False
 
 
 class EndpointReport(Struct, frozen=True):
