Ask a busy endpoint to stop less often once no client waits

Cause: the short pause is for the client that waits; an endpoint that refuses until the deadline was asked each 0.2 s also after its stream had ended. Change: the short pause applies while a stream waits for the stop.

--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stop.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stop.py
@@ -65,6 +65,8 @@
     #: The memory of the run at `holder`, or what the endpoint itself keeps.
     copied: CopiedRun | None = None
     kept: CopiedRun | None = None
+    #: Whether a client waits for the stop.
+    is_awaited: bool = False
     #: Set when the endpoint is asked, and when it replies.
     changed: curio.Event = field(default_factory=curio.Event)
     #: Set when the endpoint has stopped, or is not asked any more.
@@ -81,7 +83,17 @@
         Waits for as long as the endpoint says that it works on the run, up to
         `until` on the node's clock, in seconds.
         """
-        until = min(until, self.job.deadline_at)
+        self.is_awaited = True
+        try:
+            may_go_on = await self.is_over(min(until, self.job.deadline_at))
+        finally:
+            self.is_awaited = False
+        if not may_go_on:
+            self.job.running_at.add(self.endpoint.identity)
+        return may_go_on
+
+    async def is_over(self, until: float) -> bool:
+        """Wait for an answer, and return whether the endpoint has stopped."""
         while not self.ended.is_set():
             now = self.clock()
             silent_at = self.silent_at()
@@ -93,10 +105,7 @@
             self.changed.clear()
             async with curio.ignore_after(wakes_at - now):
                 await self.changed.wait()
-        may_go_on = self.has_stopped or not self.goes_on
-        if not may_go_on:
-            self.job.running_at.add(self.endpoint.identity)
-        return may_go_on
+        return self.has_stopped or not self.goes_on
 
     def silent_at(self) -> float:
         """Return when the lack of a reply shows that the run may go on."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stopper.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stopper.py
@@ -23,7 +23,7 @@
 #: Pause before an endpoint is asked again, in seconds; doubled each time.
 FIRST_PAUSE_SECONDS = 0.05
 MAX_PAUSE_SECONDS = 1.0
-#: Longest pause while the endpoint works on the run: its client waits.
+#: Longest pause while the endpoint works on the run and its client waits.
 MAX_CLIENT_PAUSE_SECONDS = 0.2
 
 
@@ -57,7 +57,9 @@
     ) -> RunStop | None:
         """Begin to stop a run; None if its endpoint cannot be asked.
 
-        `run` is the run that is to go on at another endpoint.
+        `run` is the run that is to go on at another endpoint. A stop that is
+        under way is returned instead of a second one, which the copy that is
+        made for the first would hold up.
         """
         engine = job.service.engine
         if engine is None or not engine.can_copy_runs:
@@ -134,7 +136,7 @@
     async def pause(self, run_stop: RunStop, seconds: float) -> float:
         """Wait before an endpoint is asked again; return the next pause.
 
-        A copy that this node has made is waited for: until its end, the
+        A copy that this node has requested is waited for: until its end, the
         endpoint would refuse again.
         """
         job, endpoint = run_stop.job, run_stop.endpoint
@@ -143,7 +145,7 @@
             return FIRST_PAUSE_SECONDS
         await curio.sleep(seconds)
         longest = MAX_PAUSE_SECONDS
-        if run_stop.goes_on:
+        if run_stop.goes_on and run_stop.is_awaited:
             longest = MAX_CLIENT_PAUSE_SECONDS
         return min(2 * seconds, longest)
 
