Let faulty endpoints of tests and soaks forge refusals as well

Change: every other unsigned answer of a call is a 503; the soak's check that refusals are true covers it.

--- a/features/support/fleet/runner.py
+++ b/features/support/fleet/runner.py
@@ -241,7 +241,8 @@
         if fault == 'error':
             return OpaqueResponse(500, (echo, SIGNATURE), b'failed')
         if fault == 'unsigned':
-            return OpaqueResponse(200, (echo,), b'forged')
+            status = 503 if len(self.ran) % 2 else 200
+            return OpaqueResponse(status, (echo,), b'forged')
         if fault == 'foreign':
             other = (b'x-turmericyard-attempt-id', b'another')
             return OpaqueResponse(200, (other, SIGNATURE), b'not yours')
