--- a/features/steps/platform_decoders_steps.py
+++ b/features/steps/platform_decoders_steps.py
@@ -25,7 +25,10 @@
 from turmericyard_fleet import manifest as fleet_manifest
 from turmericyard_fleet import settings as fleet_settings
 from turmericyard_http.messages import Request, Response
-from turmericyard_node.forwarding.answers.verdict import Verdict, judge
+from turmericyard_node.forwarding.answers.verdict import (
+    Verdict,
+    classify_answer,
+)
 from turmericyard_ports.request import (
     AnswerSigns,
     EndpointReport,
@@ -59,7 +62,7 @@
     for status in (200, 421, 503):
         signs = ingress.read_answer_signs(incoming, status, lines)
         assert isinstance(signs, AnswerSigns)
-        assert isinstance(judge(signs), Verdict)
+        assert isinstance(classify_answer(signs), Verdict)
         report = ingress.read_endpoint_report(status, lines)
         assert isinstance(report, EndpointReport)
         rest = report.back_off_seconds
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/answers/verdict.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/answers/verdict.py
@@ -13,8 +13,8 @@
 MISDIRECTED = 421
 TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
-#: Statuses that clients take for the promise that their request has not run.
-PROMISES = frozenset(
+#: Statuses that tell clients that their request has not run and never will.
+REFUSAL_STATUSES = frozenset(
     (REQUEST_TIMEOUT, MISDIRECTED, TOO_MANY_REQUESTS, UNAVAILABLE)
 )
 
@@ -38,7 +38,7 @@
     ENCODED = 'encoded'
 
 
-def judge(signs: AnswerSigns) -> Verdict:
+def classify_answer(signs: AnswerSigns) -> Verdict:
     """Return how the answer with these signs is treated."""
     if signs.names_other_request:
         return Verdict.FOREIGN
@@ -49,7 +49,7 @@
         return Verdict.NOT_RUN
     if not signs.is_signed:
         return Verdict.UNSIGNED
-    if signs.states_not_run or signs.status in PROMISES:
+    if signs.states_not_run or signs.status in REFUSAL_STATUSES:
         return Verdict.UNCLEAR
     if signs.is_encoded and is_success:
         return Verdict.ENCODED
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stop.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stop.py
@@ -85,15 +85,17 @@
         """
         self.is_awaited = True
         try:
-            may_go_on = await self.is_over(min(until, self.job.deadline_at))
+            may_go_on = await self.wait_for_reply(
+                min(until, self.job.deadline_at)
+            )
         finally:
             self.is_awaited = False
         if not may_go_on:
             self.job.running_at.add(self.endpoint.identity)
         return may_go_on
 
-    async def is_over(self, until: float) -> bool:
-        """Wait for an answer, and return whether the endpoint has stopped."""
+    async def wait_for_reply(self, until: float) -> bool:
+        """Return whether the run may go on, as `wait` does."""
         while not self.ended.is_set():
             now = self.clock()
             silent_at = self.silent_at()
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -9,7 +9,10 @@
 from turmericyard_http.clock import Clock
 from turmericyard_http.errors import AnswerLost, HttpError, NotSent
 from turmericyard_node.events import Event, log_event
-from turmericyard_node.forwarding.answers.verdict import Verdict, judge
+from turmericyard_node.forwarding.answers.verdict import (
+    Verdict,
+    classify_answer,
+)
 from turmericyard_node.forwarding.crash_detector import CrashDetector
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_response import (
@@ -183,7 +186,7 @@
             return await self.classify_error(job, endpoint, result.failure())
         response: EndpointResponse = result.unwrap()
         head = response.head
-        verdict = judge(
+        verdict = classify_answer(
             self.platform_adapter.read_answer_signs(
                 job.incoming, head.status, head.lines
             )
