Keep the verdict on an answer with its signs, and copy calls with copies

No behaviour changes. Result: start.feature, answer_heads.feature and decoders.feature pass, lint passes.

--- a/features/steps/forwarding_answer_heads_steps.py
+++ b/features/steps/forwarding_answer_heads_steps.py
@@ -13,7 +13,6 @@
 from support.fleet.world import World, manifest
 from turmericyard_fleet import ingress
 from turmericyard_http.clock import boot_seconds
-from turmericyard_node.forwarding.answers.verdict import classify_answer
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_ports.request import IncomingRequest
 
@@ -33,7 +32,7 @@
         for name, text in read_fields(fields)
     )
     signs = ingress.read_answer_signs(incoming, status, lines)
-    context.verdict = classify_answer(signs).value
+    context.verdict = signs.verdict.value
 
 
 @then('it is taken as {verdict}')
--- a/features/steps/platform_decoders_steps.py
+++ b/features/steps/platform_decoders_steps.py
@@ -25,14 +25,11 @@
 from turmericyard_fleet import manifest as fleet_manifest
 from turmericyard_fleet import settings as fleet_settings
 from turmericyard_http.messages import Request, Response
-from turmericyard_node.forwarding.answers.verdict import (
-    Verdict,
-    classify_answer,
-)
 from turmericyard_ports.request import (
     AnswerSigns,
     EndpointReport,
     IncomingRequest,
+    Verdict,
 )
 
 SEED = 20261204
@@ -62,7 +59,7 @@
     for status in (200, 421, 503):
         signs = ingress.read_answer_signs(incoming, status, lines)
         assert isinstance(signs, AnswerSigns)
-        assert isinstance(classify_answer(signs), Verdict)
+        assert isinstance(signs.verdict, Verdict)
         report = ingress.read_endpoint_report(status, lines)
         assert isinstance(report, EndpointReport)
         rest = report.back_off_seconds
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/answers/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Decides what an endpoint's answer may be taken for."""
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/moves.py
@@ -13,13 +13,12 @@
 from turmericyard_decisions.run_moves import order_copies
 from turmericyard_http.clock import Clock
 from turmericyard_node.events import Event, log_event
-from turmericyard_node.forwarding.copies import CopyCleaner
+from turmericyard_node.forwarding.copies import CopyCalls, CopyCleaner
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.load_tracker import LoadTracker, RequestLoad
 from turmericyard_node.forwarding.paths import EndpointPaths
 from turmericyard_node.forwarding.placement import HubPlacement
-from turmericyard_node.forwarding.run_stops.copy_calls import CopyCalls
 from turmericyard_node.forwarding.runs import Run, RunCopy, RunRegistry
 from turmericyard_ports.border import PlatformAdapter
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stop.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stop.py
@@ -11,9 +11,9 @@
 from returns.result import Result, Success
 
 from turmericyard_http.clock import Clock
+from turmericyard_node.forwarding.copies import CopyCalls
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.job import Job
-from turmericyard_node.forwarding.run_stops.copy_calls import CopyCalls
 from turmericyard_node.forwarding.runs import Run
 from turmericyard_ports.endpoint import CopiedRun, CopyError, CopyFailure
 
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stopper.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/run_stops/run_stopper.py
@@ -7,13 +7,12 @@
 from turmericyard_http.clock import Clock
 from turmericyard_http.tasks import BackgroundTasks
 from turmericyard_node.events import Event, log_event
-from turmericyard_node.forwarding.copies import CopyCleaner
+from turmericyard_node.forwarding.copies import CopyCalls, CopyCleaner
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.instruments import Instruments
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.paths import EndpointPaths
 from turmericyard_node.forwarding.platform_state import PlatformState
-from turmericyard_node.forwarding.run_stops.copy_calls import CopyCalls
 from turmericyard_node.forwarding.run_stops.run_stop import RunStop
 from turmericyard_node.forwarding.runs import Run
 from turmericyard_ports.border import PlatformAdapter
--- a/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
+++ b/packages/turmericyard-node/src/turmericyard_node/forwarding/sending.py
@@ -9,10 +9,6 @@
 from turmericyard_http.clock import Clock
 from turmericyard_http.errors import AnswerLost, HttpError, NotSent
 from turmericyard_node.events import Event, log_event
-from turmericyard_node.forwarding.answers.verdict import (
-    Verdict,
-    classify_answer,
-)
 from turmericyard_node.forwarding.crash_detector import CrashDetector
 from turmericyard_node.forwarding.endpoint_registry import Endpoint
 from turmericyard_node.forwarding.endpoint_response import (
@@ -25,7 +21,7 @@
 from turmericyard_node.forwarding.job import Job
 from turmericyard_node.forwarding.rollout.rollouts import Rollouts
 from turmericyard_ports.border import PlatformAdapter
-from turmericyard_ports.request import Continuation, ForwardingContext
+from turmericyard_ports.request import Continuation, ForwardingContext, Verdict
 from turmericyard_ports.settings import Bounds
 
 UNAVAILABLE = 503
@@ -186,11 +182,9 @@
             return await self.classify_error(job, endpoint, result.failure())
         response: EndpointResponse = result.unwrap()
         head = response.head
-        verdict = classify_answer(
-            self.platform_adapter.read_answer_signs(
-                job.incoming, head.status, head.lines
-            )
-        )
+        verdict = self.platform_adapter.read_answer_signs(
+            job.incoming, head.status, head.lines
+        ).verdict
         if verdict in TRUSTED_ANSWERS:
             await self.observe_report(endpoint, head)
         if verdict is Verdict.ANSWERED:
--- a/packages/turmericyard-ports/src/turmericyard_ports/request.py
+++ b/packages/turmericyard-ports/src/turmericyard_ports/request.py
@@ -4,9 +4,20 @@
 the core needs for its decisions are decoded.
 """
 
+from enum import Enum
+
 from msgspec import Struct
 
 Headers = tuple[tuple[bytes, bytes], ...]
+MULTIPLE_CHOICES = 300
+REQUEST_TIMEOUT = 408
+MISDIRECTED = 421
+TOO_MANY_REQUESTS = 429
+UNAVAILABLE = 503
+#: Statuses that tell clients that their request has not run and never will.
+REFUSAL_STATUSES = frozenset(
+    (REQUEST_TIMEOUT, MISDIRECTED, TOO_MANY_REQUESTS, UNAVAILABLE)
+)
 
 
 class Prompt(Struct, frozen=True):
@@ -73,6 +84,25 @@
     last_event_id: str
 
 
+class Verdict(Enum):
+    """How an endpoint's answer is treated."""
+
+    #: The endpoint answered this request; the answer is passed on.
+    ANSWERED = 'answered'
+    #: The endpoint did not run the request and will not run it.
+    NOT_RUN = 'not-run'
+    #: The address now belongs to another endpoint; the request did not run.
+    MISDIRECTED = 'misdirected'
+    #: The answer is for another request than the one sent.
+    FOREIGN = 'foreign'
+    #: The answer lacks the endpoint's signature; the request may have run.
+    UNSIGNED = 'unsigned'
+    #: The endpoint's answer leaves open whether the request has run.
+    UNCLEAR = 'unclear'
+    #: The body has an encoding, for which no client asks.
+    ENCODED = 'encoded'
+
+
 class AnswerSigns(Struct, frozen=True):
     """What the head of an answer says about its origin and the request.
 
@@ -91,6 +121,41 @@
     names_endpoint: bool = False
     is_encoded: bool = False
 
+    @property
+    def verdict(self) -> Verdict:
+        """Return how the answer is treated.
+
+        The table of all combinations is in docs/design/endpoint-answers.md.
+        """
+        if self.names_other_request:
+            return Verdict.FOREIGN
+        if self.is_misdirected:
+            return Verdict.MISDIRECTED
+        is_success = self.status < MULTIPLE_CHOICES
+        if self.states_not_run and not is_success:
+            return Verdict.NOT_RUN
+        if not self.is_signed:
+            return Verdict.UNSIGNED
+        if self.states_not_run or self.status in REFUSAL_STATUSES:
+            return Verdict.UNCLEAR
+        if self.is_encoded and is_success:
+            return Verdict.ENCODED
+        return Verdict.ANSWERED
+
+    @property
+    def is_misdirected(self) -> bool:
+        """Return whether another endpoint says that the request is not for it.
+
+        Such an answer says who gives it or for which request. A signature is
+        that of an endpoint which ran the request.
+        """
+        if self.status != MISDIRECTED:
+            return False
+        if self.states_not_run:
+            return True
+        has_origin = self.names_request or self.names_endpoint
+        return has_origin and not self.is_signed
+
 
 class EndpointReport(Struct, frozen=True):
     """What an endpoint's answer tells about the endpoint.
