--- a/features/steps/forwarding_answer_heads_steps.py
+++ b/features/steps/forwarding_answer_heads_steps.py
@@ -18,7 +18,7 @@
 
 ATTEMPT = 'at-0'
 UNAVAILABLE = 503
-#: Route of resumable streams with more runs than by default.
+#: Endpoints that may run a request: one more than by default.
 RUNS_PERMITTED = 3
 #: Calls that are looked at as the last ones.
 LAST_CALLS = 30
